--- /dev/null
+++ b/core/bbtfleet/hostlist.go
@@ -0,0 +1,16 @@
+package bbtfleet
+
+// HostList is the platform's list of entry hosts at one revision.
+type HostList struct {
+	revision Revision
+	hosts    []Host
+}
+
+// NewHostList returns a list. It keeps hosts, which must not change afterwards.
+func NewHostList(r Revision, hosts []Host) HostList { return HostList{revision: r, hosts: hosts} }
+
+// Revision returns the list's revision.
+func (l HostList) Revision() Revision { return l.revision }
+
+// Hosts returns the hosts, which must not be changed.
+func (l HostList) Hosts() []Host { return l.hosts }
--- /dev/null
+++ b/core/bbtverdict/error.go
@@ -0,0 +1,72 @@
+package bbtverdict
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Error is a refusal or failure with its verdict.
+type Error struct {
+	verdict    Verdict
+	reason     Reason
+	retryAfter time.Duration
+	cause      error
+}
+
+// Option sets an optional part of an Error.
+type Option func(*Error)
+
+// WithRetryAfter sets how long the caller should wait before it resends.
+func WithRetryAfter(d time.Duration) Option {
+	return func(e *Error) { e.retryAfter = d }
+}
+
+// WithCause sets the underlying error.
+func WithCause(err error) Option {
+	return func(e *Error) { e.cause = err }
+}
+
+// New returns an Error with the given verdict and reason.
+func New(v Verdict, r Reason, opts ...Option) *Error {
+	e := &Error{verdict: v, reason: r}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// Verdict returns what is known of the request's execution.
+func (e *Error) Verdict() Verdict { return e.verdict }
+
+// Reason returns the cause's name.
+func (e *Error) Reason() Reason { return e.reason }
+
+// RetryAfter returns how long the caller should wait before it resends; zero
+// if no time is known.
+func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
+
+// Unwrap returns the underlying error, or nil.
+func (e *Error) Unwrap() error { return e.cause }
+
+// Error describes the verdict, the reason and the cause.
+func (e *Error) Error() string {
+	if e.cause == nil {
+		return fmt.Sprintf("%s: %s", e.verdict, e.reason)
+	}
+	return fmt.Sprintf("%s: %s: %v", e.verdict, e.reason, e.cause)
+}
+
+// Of returns the verdict of err. An error without one may have run; a nil
+// error ran.
+func Of(err error) Verdict {
+	if err == nil {
+		return Ran
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.verdict
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/core/bbtverdict/reason.go
@@ -0,0 +1,31 @@
+package bbtverdict
+
+// Reason names the cause of a refusal or failure in kebab case. Each reason
+// has a counter of its own.
+type Reason string
+
+// The reasons a request is refused or fails.
+const (
+	ReasonBadRequest       Reason = "bad-request"
+	ReasonUnknownAccount   Reason = "unknown-account"
+	ReasonUnknownPool      Reason = "unknown-pool"
+	ReasonRequestRate      Reason = "request-rate"
+	ReasonTokenRate        Reason = "token-rate"
+	ReasonNoRoom           Reason = "no-room"
+	ReasonEvicted          Reason = "evicted-by-higher-tier"
+	ReasonDeadline         Reason = "deadline-unreachable"
+	ReasonCancelled        Reason = "cancelled"
+	ReasonTicketRequired   Reason = "ticket-required"
+	ReasonTicketInvalid    Reason = "ticket-invalid"
+	ReasonTicketExpired    Reason = "ticket-expired"
+	ReasonLedgerFull       Reason = "ledger-full"
+	ReasonExecutorGone     Reason = "executor-gone"
+	ReasonSuspect          Reason = "crashes-endpoints"
+	ReasonViewStale        Reason = "view-stale"
+	ReasonDraining         Reason = "draining"
+	ReasonEndpointRefused  Reason = "endpoint-refused"
+	ReasonEndpointLost     Reason = "endpoint-lost"
+	ReasonEndpointSilent   Reason = "endpoint-silent"
+	ReasonAnswerIncomplete Reason = "answer-incomplete"
+	ReasonOverloaded       Reason = "overloaded"
+)
--- /dev/null
+++ b/test.sh
@@ -0,0 +1,26 @@
+#!/usr/bin/env bash
+# Runs every check of the project: formatter, vet, linters, tests with the race
+# detector.
+set -euo pipefail
+cd "$(dirname "$0")"
+
+step() { printf '\n== %s\n' "$*"; }
+
+step formatter
+unformatted=$(gofmt -l .)
+if [ -n "$unformatted" ]; then
+  printf 'not formatted:\n%s\n' "$unformatted"
+  exit 1
+fi
+
+step vet
+go vet ./...
+
+step linters
+mkdir -p bin
+(cd tools && go build -o ../bin/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive)
+bin/staticcheck ./...
+bin/revive -config revive.toml -set_exit_status ./...
+
+step tests
+go test -race ./...
