--- /dev/null
+++ b/internal/speccheck/result_test.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+const exhaustive = `
+State-vector 92 byte, depth reached 564, errors: 0
+  2687881 states, stored
+`
+
+const violated = `
+pan:1: assertion violated at_most_once (at depth 12)
+State-vector 92 byte, depth reached 13, errors: 1
+     1473 states, stored
+Warning: Search not completed
+`
+
+const cutShort = `
+error: max search depth too small
+State-vector 92 byte, depth reached 99, errors: 0
+     1473 states, stored
+`
+
+func TestVerdict(t *testing.T) {
+	once := []string{"at-most-once"}
+	tests := []struct {
+		name   string
+		search search
+		report string
+		want   string
+	}{
+		{"property holds", search{properties: once}, exhaustive, ""},
+		{"property fails", search{properties: once}, violated, "property fails"},
+		{"search cut", search{properties: once}, cutShort, "search cut short"},
+		{"mutant fails", search{properties: once, mutant: "m"}, violated, ""},
+		{"mutant passes", search{properties: once, mutant: "m"}, exhaustive, "mutant passes"},
+		{"mutant cut", search{properties: once, mutant: "m"}, cutShort, "search cut short"},
+		{"mutant breaks another", search{properties: []string{"no-revert"}, mutant: "m"}, violated, "something else"},
+	}
+	for _, tt := range tests {
+		res, err := parseResult(tt.report)
+		if err != nil {
+			t.Fatalf("%s: parseResult: %v", tt.name, err)
+		}
+		got := ""
+		if err := tt.search.verdict(res); err != nil {
+			got = err.Error()
+		}
+		if !strings.Contains(got, tt.want) || (tt.want == "" && got != "") {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestParseResultWithoutCounts(t *testing.T) {
+	if _, err := parseResult("killed"); err == nil {
+		t.Error("got no error, want one for a report without counts")
+	}
+}
