io: platform client, counters and stand-ins

The configuration service and host list are read over HTTP against a stand-in that counts every call.

--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -29,3 +29,32 @@
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
 )
+
+// reasons lists every reason.
+var reasons = [...]Reason{
+	ReasonBadRequest,
+	ReasonUnknownAccount,
+	ReasonUnknownPool,
+	ReasonRequestRate,
+	ReasonTokenRate,
+	ReasonNoRoom,
+	ReasonEvicted,
+	ReasonDeadline,
+	ReasonCancelled,
+	ReasonTicketRequired,
+	ReasonTicketInvalid,
+	ReasonTicketExpired,
+	ReasonLedgerFull,
+	ReasonExecutorGone,
+	ReasonSuspect,
+	ReasonViewStale,
+	ReasonDraining,
+	ReasonEndpointRefused,
+	ReasonEndpointLost,
+	ReasonEndpointSilent,
+	ReasonAnswerIncomplete,
+	ReasonOverloaded,
+}
+
+// Reasons returns every reason.
+func Reasons() []Reason { return reasons[:] }
--- /dev/null
+++ b/internal/bbtstandin/platform.go
@@ -0,0 +1,215 @@
+package bbtstandin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Limits of the configuration service.
+const (
+	MaxValueBytes  = 1 << 20
+	ReadsPerSecond = 2000
+	maxWatchWait   = 60 * time.Second
+)
+
+// HostRecord is one host of the published host list.
+type HostRecord struct {
+	ID            string `json:"id"`
+	Zone          string `json:"zone"`
+	PeerAddress   string `json:"peer-address"`
+	CallerAddress string `json:"caller-address"`
+	State         string `json:"state"`
+}
+
+// HostListRecord is the published host list.
+type HostListRecord struct {
+	Revision uint64       `json:"revision"`
+	Hosts    []HostRecord `json:"hosts"`
+}
+
+// value is one stored value with its revision.
+type value struct {
+	revision uint64
+	data     []byte
+}
+
+// Platform stands in for the configuration service and the host list. It
+// counts every call, a waiting watch as one.
+type Platform struct {
+	mux     *http.ServeMux
+	limiter *rate.Limiter
+
+	mu       sync.Mutex
+	revision uint64
+	values   map[string]value
+	hosts    HostListRecord
+	changed  chan struct{}
+	reads    uint64
+	limited  uint64
+	down     bool
+}
+
+// NewPlatform returns an empty platform that allows ReadsPerSecond reads.
+func NewPlatform() *Platform {
+	p := &Platform{
+		mux:     http.NewServeMux(),
+		limiter: rate.NewLimiter(ReadsPerSecond, ReadsPerSecond),
+		values:  make(map[string]value),
+		changed: make(chan struct{}),
+	}
+	p.mux.HandleFunc("GET /v1/values/{key}", p.serveValue)
+	p.mux.HandleFunc("GET /v1/hosts", p.serveHosts)
+	p.mux.HandleFunc("PUT /control/values/{key}", p.servePut)
+	p.mux.HandleFunc("PUT /control/hosts", p.servePutHosts)
+	p.mux.HandleFunc("POST /control/down", p.serveDown)
+	p.mux.HandleFunc("GET /control/reads", p.serveReads)
+	return p
+}
+
+// ServeHTTP answers reads, watches and the tests' control calls.
+func (p *Platform) ServeHTTP(w http.ResponseWriter, r *http.Request) { p.mux.ServeHTTP(w, r) }
+
+// Put stores a value and wakes the watches on it.
+func (p *Platform) Put(key string, data []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision++
+	p.values[key] = value{revision: p.revision, data: data}
+	p.wake()
+}
+
+// PutHosts replaces the host list and returns its new revision.
+func (p *Platform) PutHosts(hosts []HostRecord) uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = HostListRecord{Revision: p.hosts.Revision + 1, Hosts: hosts}
+	return p.hosts.Revision
+}
+
+// SetDown makes every read fail, or succeed again.
+func (p *Platform) SetDown(down bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.down = down
+	p.wake()
+}
+
+// Reads returns how many calls were counted, refused ones included.
+func (p *Platform) Reads() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.reads
+}
+
+// wake ends every waiting watch. The caller holds mu.
+func (p *Platform) wake() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// admit counts a call and reports whether it may proceed.
+func (p *Platform) admit(w http.ResponseWriter) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reads++
+	if p.down {
+		http.Error(w, "service is down", http.StatusServiceUnavailable)
+		return false
+	}
+	if !p.limiter.Allow() {
+		p.limited++
+		http.Error(w, "too many reads", http.StatusTooManyRequests)
+		return false
+	}
+	return true
+}
+
+func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
+	if !p.admit(w) {
+		return
+	}
+	after := formUint(r, "after")
+	timeout := time.NewTimer(min(formDuration(r, "wait", 0), maxWatchWait))
+	defer timeout.Stop()
+	for {
+		v, ok, changed := p.lookup(r.PathValue("key"))
+		if ok && v.revision > after {
+			w.Header().Set(HeaderRevision, strconv.FormatUint(v.revision, 10))
+			_, _ = w.Write(v.data) // a reader that has gone needs no answer
+			return
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			return
+		case <-timeout.C:
+			p.refuseMissing(w, ok)
+			return
+		}
+	}
+}
+
+// refuseMissing answers a read whose value does not exist or has not changed.
+func (p *Platform) refuseMissing(w http.ResponseWriter, exists bool) {
+	if exists {
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	http.Error(w, "no such key", http.StatusNotFound)
+}
+
+// lookup returns the value and a channel that closes at the next change.
+func (p *Platform) lookup(key string) (value, bool, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	v, ok := p.values[key]
+	return v, ok && !p.down, p.changed
+}
+
+func (p *Platform) serveHosts(w http.ResponseWriter, _ *http.Request) {
+	if !p.admit(w) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	writeJSON(w, p.hosts)
+}
+
+func (p *Platform) servePut(w http.ResponseWriter, r *http.Request) {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return
+	}
+	if rev := formUint(r, "revision"); rev > 0 {
+		p.restore(rev)
+	}
+	p.Put(r.PathValue("key"), data)
+}
+
+// restore makes the next stored value carry revision rev, as a service
+// restored from a backup does.
+func (p *Platform) restore(rev uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revision = rev - 1
+}
+
+func (p *Platform) servePutHosts(w http.ResponseWriter, r *http.Request) {
+	var hosts []HostRecord
+	if !readJSON(w, r, &hosts) {
+		return
+	}
+	writeJSON(w, p.PutHosts(hosts))
+}
+
+func (p *Platform) serveDown(_ http.ResponseWriter, r *http.Request) {
+	p.SetDown(r.FormValue("down") != "false")
+}
+
+func (p *Platform) serveReads(w http.ResponseWriter, _ *http.Request) { writeJSON(w, p.Reads()) }
--- /dev/null
+++ b/internal/bbtstandin/service.go
@@ -0,0 +1,103 @@
+package bbtstandin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Service stands in for a plain service some of whose calls may not be
+// repeated. It counts how often each body ran.
+type Service struct {
+	faults
+	mux   *http.ServeMux
+	delay time.Duration
+	life  uint64
+
+	mu      sync.Mutex
+	running int
+	runs    map[string]int
+}
+
+// NewService returns a service that takes delay for each call.
+func NewService(delay time.Duration) *Service {
+	s := &Service{
+		mux:   http.NewServeMux(),
+		delay: delay,
+		life:  uint64(time.Now().UnixNano()),
+		runs:  make(map[string]int),
+	}
+	s.mux.HandleFunc("GET /load", s.serveLoad)
+	s.mux.HandleFunc("PUT /control/fault", s.serveFault)
+	s.mux.HandleFunc("GET /control/runs", s.serveRuns)
+	s.mux.HandleFunc("/", s.serveCall)
+	return s
+}
+
+// ServeHTTP answers calls, load reads and control calls.
+func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(HeaderIncarnation, strconv.FormatUint(s.life, 10))
+	s.mux.ServeHTTP(w, r)
+}
+
+// Runs returns how often each body ran.
+func (s *Service) Runs() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	runs := make(map[string]int, len(s.runs))
+	for body, n := range s.runs {
+		runs[body] = n
+	}
+	return runs
+}
+
+// begin counts a run of the body.
+func (s *Service) begin(body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.runs[body]++
+}
+
+// end counts the end of a run.
+func (s *Service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxValueBytes))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s.begin(string(body))
+	defer s.end()
+	if !s.before(r) || !wait(r, s.scale(s.delay)) {
+		return
+	}
+	answer := "done: " + string(body)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if s.get().Cut {
+		answer = answer[:len(answer)/2]
+	}
+	_, _ = io.WriteString(w, answer) // a caller that has gone needs no answer
+}
+
+func (s *Service) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	writeJSON(w, LoadRecord{Incarnation: s.life, Running: s.running})
+}
+
+func (s *Service) serveFault(w http.ResponseWriter, r *http.Request) {
+	var fault Fault
+	if readJSON(w, r, &fault) {
+		s.set(fault)
+	}
+}
+
+func (s *Service) serveRuns(w http.ResponseWriter, _ *http.Request) { writeJSON(w, s.Runs()) }
--- /dev/null
+++ b/io/bbtplatform/client.go
@@ -0,0 +1,137 @@
+// Package bbtplatform reads the configuration service and the host list over
+// HTTP.
+package bbtplatform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"github.com/cockroachdb/errors"
+)
+
+// Limits of one read.
+const (
+	maxValueBytes      = 1 << 20
+	defaultReadTimeout = 2 * time.Second
+	defaultWatchWait   = 30 * time.Second
+)
+
+// headerRevision carries the service's revision of a value.
+const headerRevision = "Revision"
+
+// ErrUnchanged says that a watch ended without a newer value.
+var ErrUnchanged = errors.New("value unchanged")
+
+// Client reads one platform. It implements bluebelltray.Platform.
+type Client struct {
+	base        string
+	http        *http.Client
+	readTimeout time.Duration
+	watchWait   time.Duration
+}
+
+// Option sets an optional part of a Client.
+type Option func(*Client)
+
+// WithReadTimeout sets how long a read may take.
+func WithReadTimeout(d time.Duration) Option { return func(c *Client) { c.readTimeout = d } }
+
+// WithWatchWait sets how long the service may hold a watch.
+func WithWatchWait(d time.Duration) Option { return func(c *Client) { c.watchWait = d } }
+
+// New returns a client of the platform at addr, an IP:port.
+func New(addr string, opts ...Option) *Client {
+	c := &Client{
+		base:        "http://" + addr,
+		http:        &http.Client{},
+		readTimeout: defaultReadTimeout,
+		watchWait:   defaultWatchWait,
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	return c
+}
+
+// Read returns the value of a key.
+func (c *Client) Read(ctx context.Context, key string) (bbtfleet.Value, error) {
+	return c.value(ctx, c.readTimeout, "/v1/values/"+url.PathEscape(key))
+}
+
+// Watch waits until the key's revision exceeds after. It returns ErrUnchanged
+// when the service ends the wait first.
+func (c *Client) Watch(ctx context.Context, key string, after bbtfleet.Revision) (bbtfleet.Value, error) {
+	path := fmt.Sprintf("/v1/values/%s?after=%d&wait=%s", url.PathEscape(key), after, c.watchWait)
+	return c.value(ctx, c.watchWait+c.readTimeout, path)
+}
+
+// Hosts returns the host list.
+func (c *Client) Hosts(ctx context.Context) (bbtfleet.HostList, error) {
+	_, data, err := c.get(ctx, c.readTimeout, "/v1/hosts")
+	if err != nil {
+		return bbtfleet.HostList{}, errors.Wrap(err, "read host list")
+	}
+	var list hostList
+	if err := json.Unmarshal(data, &list); err != nil {
+		return bbtfleet.HostList{}, errors.Wrap(err, "decode host list")
+	}
+	return list.record(), nil
+}
+
+// value reads one value and its revision.
+func (c *Client) value(ctx context.Context, timeout time.Duration, path string) (bbtfleet.Value, error) {
+	header, data, err := c.get(ctx, timeout, path)
+	if err != nil {
+		return bbtfleet.Value{}, errors.Wrapf(err, "read %s", path)
+	}
+	rev, err := strconv.ParseUint(header.Get(headerRevision), 10, 64)
+	if err != nil {
+		return bbtfleet.Value{}, errors.Wrap(err, "read revision")
+	}
+	return bbtfleet.NewValue(bbtfleet.Revision(rev), data), nil
+}
+
+// get reads one resource within timeout.
+func (c *Client) get(ctx context.Context, timeout time.Duration, path string) (http.Header, []byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	if err := checkStatus(resp.StatusCode); err != nil {
+		return nil, nil, err
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
+	if err != nil {
+		return nil, nil, err
+	}
+	if len(data) > maxValueBytes {
+		return nil, nil, errors.Newf("value exceeds %d bytes", maxValueBytes)
+	}
+	return resp.Header, data, nil
+}
+
+// checkStatus turns a status without a value into an error.
+func checkStatus(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusNoContent:
+		return ErrUnchanged
+	default:
+		return errors.Newf("service answered %d %s", status, http.StatusText(status))
+	}
+}
