--- a/core/bbtverdict/error.go
+++ b/core/bbtverdict/error.go
@@ -12,6 +12,7 @@
 	verdict    Verdict
 	reason     Reason
 	retryAfter time.Duration
+	ticket     string
 	cause      error
 }
 
@@ -23,6 +24,12 @@
 	return func(e *Error) { e.retryAfter = d }
 }
 
+// WithTicket encloses a ticket under which the caller may send the request
+// again.
+func WithTicket(text string) Option {
+	return func(e *Error) { e.ticket = text }
+}
+
 // WithCause sets the underlying error.
 func WithCause(err error) Option {
 	return func(e *Error) { e.cause = err }
@@ -47,6 +54,9 @@
 // if no time is known.
 func (e *Error) RetryAfter() time.Duration { return e.retryAfter }
 
+// Ticket returns the enclosed ticket, or the empty string.
+func (e *Error) Ticket() string { return e.ticket }
+
 // Unwrap returns the underlying error, or nil.
 func (e *Error) Unwrap() error { return e.cause }
 
@@ -58,6 +68,16 @@
 	return fmt.Sprintf("%s: %s: %v", e.verdict, e.reason, e.cause)
 }
 
+// As returns err as an *Error. An error of another kind becomes one that may
+// have run, with the given reason.
+func As(err error, r Reason) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return New(MayHaveRun, r, WithCause(err))
+}
+
 // Of returns the verdict of err. An error without one may have run; a nil
 // error ran.
 func Of(err error) Verdict {
--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -28,6 +28,7 @@
 	ReasonEndpointSilent   Reason = "endpoint-silent"
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonPermitExpired    Reason = "permit-expired"
 )
 
 // reasons lists every reason.
@@ -54,6 +55,7 @@
 	ReasonEndpointSilent,
 	ReasonAnswerIncomplete,
 	ReasonOverloaded,
+	ReasonPermitExpired,
 }
 
 // Reasons returns every reason.
--- a/internal/bbtstandin/engine.go
+++ b/internal/bbtstandin/engine.go
@@ -91,6 +91,10 @@
 	if !wait(r, e.scale(e.prefill(req.Prompt))) {
 		return
 	}
+	if !req.Stream {
+		e.answerWhole(w, r, req, life)
+		return
+	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := range max(req.MaxTokens, 1) {
 		if e.batch.current() != life || !wait(r, e.scale(e.speed.BetweenTokens)) {
@@ -108,6 +112,17 @@
 	e.batch.finished(life)
 }
 
+// answerWhole sends all tokens as one JSON object.
+func (e *Engine) answerWhole(w http.ResponseWriter, r *http.Request, req CompletionRecord, life uint64) {
+	n := max(req.MaxTokens, 1)
+	if !wait(r, e.scale(time.Duration(n)*e.speed.BetweenTokens)) || e.batch.current() != life {
+		panic(http.ErrAbortHandler)
+	}
+	text := strings.Repeat("t ", n)
+	writeJSON(w, map[string]any{"choices": []map[string]any{{"index": 0, "text": text}}})
+	e.batch.finished(life)
+}
+
 // prefill returns the time the prompt's uncached tokens take.
 func (e *Engine) prefill(prompt string) time.Duration {
 	e.mu.Lock()
--- /dev/null
+++ b/io/bbthttp/limits.go
@@ -0,0 +1,48 @@
+package bbthttp
+
+import "time"
+
+// Limits bounds what callers may send and how slowly.
+type Limits struct {
+	headerBytes   int
+	bodyBytes     int64
+	concurrent    int
+	headerTimeout time.Duration
+	bodyTimeout   time.Duration
+	silence       time.Duration
+}
+
+// LimitOption sets one limit.
+type LimitOption func(*Limits)
+
+// WithMaxHeader sets the largest header in bytes.
+func WithMaxHeader(n int) LimitOption { return func(l *Limits) { l.headerBytes = n } }
+
+// WithMaxBody sets the largest body in bytes.
+func WithMaxBody(n int64) LimitOption { return func(l *Limits) { l.bodyBytes = n } }
+
+// WithMaxConcurrent sets how many requests the host holds at once.
+func WithMaxConcurrent(n int) LimitOption { return func(l *Limits) { l.concurrent = n } }
+
+// WithBodyTimeout sets how long a caller may take to send its body.
+func WithBodyTimeout(d time.Duration) LimitOption { return func(l *Limits) { l.bodyTimeout = d } }
+
+// WithCallerSilence sets how long a caller may take to accept one piece of its
+// answer.
+func WithCallerSilence(d time.Duration) LimitOption { return func(l *Limits) { l.silence = d } }
+
+// NewLimits returns the default limits with opts applied.
+func NewLimits(opts ...LimitOption) Limits {
+	l := Limits{
+		headerBytes:   DefaultMaxHeaderBytes,
+		bodyBytes:     DefaultMaxBodyBytes,
+		concurrent:    DefaultMaxConcurrent,
+		headerTimeout: DefaultHeaderTimeout,
+		bodyTimeout:   DefaultBodyTimeout,
+		silence:       DefaultSilence,
+	}
+	for _, opt := range opts {
+		opt(&l)
+	}
+	return l
+}
--- /dev/null
+++ b/io/bbthttp/refusal.go
@@ -0,0 +1,66 @@
+package bbthttp
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"bluebelltray/core/bbtverdict"
+)
+
+// refusal is the body of a refused request.
+type refusal struct {
+	Verdict    string `json:"verdict"`
+	Reason     string `json:"reason"`
+	Message    string `json:"message"`
+	RetryAfter string `json:"retry-after,omitempty"`
+	Ticket     string `json:"ticket,omitempty"`
+}
+
+// refuse answers a request with its verdict in headers and body.
+func refuse(w http.ResponseWriter, err *bbtverdict.Error) {
+	h := w.Header()
+	h.Set(headerContentType, typeJSON)
+	h.Set(HeaderVerdict, err.Verdict().String())
+	h.Set(HeaderReason, string(err.Reason()))
+	body := refusal{
+		Verdict: err.Verdict().String(),
+		Reason:  string(err.Reason()),
+		Message: err.Error(),
+		Ticket:  err.Ticket(),
+	}
+	if err.Ticket() != "" {
+		h.Set(HeaderTicket, err.Ticket())
+	}
+	if d := err.RetryAfter(); d > 0 {
+		h.Set(headerRetryAfter, strconv.Itoa(int((d+time.Second-1)/time.Second)))
+		body.RetryAfter = d.String()
+	}
+	w.WriteHeader(status(err))
+	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
+}
+
+// status returns the HTTP status of a refusal.
+func status(err *bbtverdict.Error) int {
+	switch err.Reason() {
+	case bbtverdict.ReasonBadRequest, bbtverdict.ReasonTicketInvalid:
+		return http.StatusBadRequest
+	case bbtverdict.ReasonUnknownAccount:
+		return http.StatusForbidden
+	case bbtverdict.ReasonUnknownPool:
+		return http.StatusNotFound
+	case bbtverdict.ReasonTicketRequired:
+		return http.StatusPreconditionRequired
+	case bbtverdict.ReasonTicketExpired:
+		return http.StatusGone
+	case bbtverdict.ReasonRequestRate, bbtverdict.ReasonTokenRate:
+		return http.StatusTooManyRequests
+	case bbtverdict.ReasonSuspect:
+		return http.StatusUnprocessableEntity
+	}
+	if err.Verdict() == bbtverdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
+}
--- /dev/null
+++ b/io/bbthttp/request.go
@@ -0,0 +1,88 @@
+package bbthttp
+
+import (
+	"bluebelltray"
+	"bluebelltray/core/bbtfleet"
+)
+
+// Request is one caller's request as read from HTTP.
+type Request struct {
+	account      bbtfleet.AccountID
+	pool         bbtfleet.PoolID
+	method       string
+	path         string
+	contentType  string
+	body         []byte
+	promptTokens int
+	maxTokens    int
+	ticket       string
+	key          string
+	first        bool
+}
+
+var _ bluebelltray.Request = (*Request)(nil)
+
+// RequestOption sets an optional part of a Request.
+type RequestOption func(*Request)
+
+// WithTokens sets the estimated work in tokens.
+func WithTokens(prompt, limit int) RequestOption {
+	return func(r *Request) { r.promptTokens, r.maxTokens = prompt, limit }
+}
+
+// WithTicket sets the ticket that the caller holds.
+func WithTicket(text string) RequestOption { return func(r *Request) { r.ticket = text } }
+
+// WithKey sets the caller's idempotency key and whether the caller states that
+// it sends the request for the first time.
+func WithKey(key string, first bool) RequestOption {
+	return func(r *Request) { r.key, r.first = key, first }
+}
+
+// WithContent sets the body and its type.
+func WithContent(contentType string, body []byte) RequestOption {
+	return func(r *Request) { r.contentType, r.body = contentType, body }
+}
+
+// NewRequest returns a request of an account to a pool.
+func NewRequest(a bbtfleet.AccountID, p bbtfleet.PoolID, method, path string, opts ...RequestOption) *Request {
+	r := &Request{account: a, pool: p, method: method, path: path}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// Account returns the client account's name.
+func (r *Request) Account() bbtfleet.AccountID { return r.account }
+
+// Pool returns the model or service called.
+func (r *Request) Pool() bbtfleet.PoolID { return r.pool }
+
+// Method returns the HTTP method.
+func (r *Request) Method() string { return r.method }
+
+// Path returns the path and query that the endpoint receives.
+func (r *Request) Path() string { return r.path }
+
+// ContentType returns the body's type.
+func (r *Request) ContentType() string { return r.contentType }
+
+// Body returns the body, which must not be changed.
+func (r *Request) Body() []byte { return r.body }
+
+// PromptTokens returns the estimated length of the prompt in tokens.
+func (r *Request) PromptTokens() int { return r.promptTokens }
+
+// MaxTokens returns the most tokens the answer may have.
+func (r *Request) MaxTokens() int { return r.maxTokens }
+
+// Ticket returns the text of the ticket, or empty.
+func (r *Request) Ticket() string { return r.ticket }
+
+// Key returns the caller's idempotency key, or empty.
+func (r *Request) Key() string { return r.key }
+
+// First reports whether the caller states that it never sent this request
+// before.
+func (r *Request) First() bool { return r.first }
