--- /dev/null
+++ b/core/bbtgrant/load.go
@@ -0,0 +1,16 @@
+package bbtgrant
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// LoadReport is what an endpoint says about itself. It describes the past.
+type LoadReport struct {
+	Endpoint    bbtfleet.EndpointID
+	Incarnation bbtfleet.Incarnation
+	Running     int       // requests in the batch
+	Queued      int       // requests in the endpoint's own queue
+	At          time.Time // when the endpoint took the figures, on the reader's clock
+}
--- /dev/null
+++ b/core/bbtgrant/wire.go
@@ -0,0 +1,100 @@
+package bbtgrant
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+)
+
+// RequestID is an entry host's number for a request, unique among the
+// requests of one process.
+type RequestID uint64
+
+// PermitID is an owner's number for a permit, unique among the permits of one
+// process.
+type PermitID uint64
+
+// Message is what entry hosts and owners send one another.
+type Message interface{ message() }
+
+// Registration asks an owner for a permit on one of its endpoints.
+type Registration struct {
+	Request RequestID          `cbor:"1,keyasint"`
+	Pool    bbtfleet.PoolID    `cbor:"2,keyasint"`
+	Account bbtfleet.AccountID `cbor:"3,keyasint"`
+	Tier    bbtfleet.Tier      `cbor:"4,keyasint"`
+
+	// Sent is the entry host's clock when it sent the registration, counted
+	// from the start of its process.
+	Sent time.Duration `cbor:"5,keyasint"`
+
+	// Left is the time from Sent to the request's deadline.
+	Left time.Duration `cbor:"6,keyasint"`
+
+	// Prompt and Output are the expected tokens to read and to generate.
+	Prompt int `cbor:"7,keyasint"`
+	Output int `cbor:"8,keyasint,omitempty"`
+
+	// Prefix identifies the start of the prompt that endpoints may hold in
+	// their caches; zero if none.
+	Prefix uint64 `cbor:"9,keyasint,omitempty"`
+
+	// Exclude names endpoints the request must not run on again.
+	Exclude []bbtfleet.EndpointID `cbor:"10,keyasint,omitempty"`
+
+	// Alone asks for an endpoint that runs nothing else.
+	Alone bool `cbor:"11,keyasint,omitempty"`
+}
+
+// Permit allows one dispatch of one request to one run of an endpoint.
+type Permit struct {
+	ID          PermitID             `cbor:"1,keyasint"`
+	Request     RequestID            `cbor:"2,keyasint"`
+	Endpoint    bbtfleet.EndpointID  `cbor:"3,keyasint"`
+	Incarnation bbtfleet.Incarnation `cbor:"4,keyasint,omitempty"`
+
+	// Expiry is the entry host's clock, as in Registration.Sent, after which
+	// the dispatch must not start. It errs on the early side by the time the
+	// registration took to arrive.
+	Expiry time.Duration `cbor:"5,keyasint"`
+}
+
+// Withdrawal takes a registration back.
+type Withdrawal struct {
+	Request RequestID `cbor:"1,keyasint"`
+}
+
+// Return hands a permit back unused.
+type Return struct {
+	Permit PermitID `cbor:"1,keyasint"`
+}
+
+// Done tells the owner that the dispatch under a permit has ended.
+type Done struct {
+	Permit  PermitID `cbor:"1,keyasint"`
+	Outcome Outcome  `cbor:"2,keyasint"`
+
+	// Output is the number of tokens generated.
+	Output int `cbor:"3,keyasint,omitempty"`
+
+	// FirstToken is the time from the dispatch to the first token, and
+	// Elapsed the time from the dispatch to its end.
+	FirstToken time.Duration `cbor:"4,keyasint,omitempty"`
+	Elapsed    time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// Shed tells an entry host that its registration is no longer held.
+type Shed struct {
+	To         bbtfleet.HostID   `cbor:"-"`
+	Request    RequestID         `cbor:"1,keyasint"`
+	Reason     bbtverdict.Reason `cbor:"2,keyasint"`
+	RetryAfter time.Duration     `cbor:"3,keyasint,omitempty"`
+}
+
+func (Registration) message() {}
+func (Permit) message()       {}
+func (Withdrawal) message()   {}
+func (Return) message()       {}
+func (Done) message()         {}
+func (Shed) message()         {}
--- /dev/null
+++ b/core/bbtroute/action.go
@@ -0,0 +1,40 @@
+package bbtroute
+
+import (
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+)
+
+// Action is what an Entry asks its driver to do: a Send, a Dispatch, a Stop,
+// or a Refuse.
+type Action interface{ action() }
+
+// Send passes a message to a host, which may be the entry host itself.
+type Send struct {
+	To      bbtfleet.HostID
+	Message bbtgrant.Message
+}
+
+// Dispatch sends the request to the endpoint now.
+type Dispatch struct {
+	Request  bbtgrant.RequestID
+	Endpoint bbtfleet.EndpointID
+	Permit   bbtgrant.Permit
+}
+
+// Stop cancels a dispatch that is under way. The driver still calls Finished.
+type Stop struct {
+	Request bbtgrant.RequestID
+}
+
+// Refuse ends the request without an answer.
+type Refuse struct {
+	Request bbtgrant.RequestID
+	Err     *bbtverdict.Error
+}
+
+func (Send) action()     {}
+func (Dispatch) action() {}
+func (Stop) action()     {}
+func (Refuse) action()   {}
--- /dev/null
+++ b/core/bbtroute/request.go
@@ -0,0 +1,35 @@
+package bbtroute
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+)
+
+// Request is one call that an entry host holds for a caller.
+type Request struct {
+	ID       bbtgrant.RequestID
+	Pool     bbtfleet.PoolID
+	Account  bbtfleet.AccountID
+	Tier     bbtfleet.Tier
+	Deadline time.Time // when the whole answer is due; zero for none
+
+	// Prompt and Output are the expected tokens to read and to generate.
+	Prompt int
+	Output int
+
+	// Prefix identifies the start of the prompt that endpoints may hold in
+	// their caches; zero if none.
+	Prefix uint64
+
+	// Repeats is how often the call may run again after a dispatch whose
+	// outcome is unknown.
+	Repeats int
+
+	// Alone asks for an endpoint that runs nothing else.
+	Alone bool
+
+	// Exclude names endpoints the request must not run on.
+	Exclude []bbtfleet.EndpointID
+}
