core/bbtconfig: published configuration in ini

The daemon reads a manifest and parts. bbtini vets each line before the INI library reads a section, since the library gives no line numbers, drops repeated keys and lets a quoted value span lines; bbtunit holds the units.

bbtini is a package of its own because the settings file uses it too.

--- /dev/null
+++ b/core/bbtconfig/builder.go
@@ -0,0 +1,73 @@
+package bbtconfig
+
+import (
+	"fmt"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtini"
+)
+
+// The kinds of section in a part.
+const (
+	zoneKind     = "zone"
+	endpointKind = "endpoint"
+	contractKind = "contract"
+)
+
+// builder gathers the sections of all parts and checks them against one
+// another.
+type builder struct {
+	partial   bool
+	report    bbtini.Report
+	zones     []bbtfleet.Zone
+	endpoints []bbtfleet.Endpoint
+	contracts []bbtfleet.Contract
+	seen      seen
+	uses      []use
+}
+
+// section reads one section.
+func (b *builder) section(s *bbtini.Section) {
+	known := s.Kind() == zoneKind || s.Kind() == endpointKind || s.Kind() == contractKind
+	if !known || s.Name() == "" {
+		s.Refuse("unknown section", bbtini.WithWant("[zone NAME], [endpoint NAME] or [contract ACCOUNT]"))
+		return
+	}
+	if first, ok := b.seen.item(s); ok {
+		s.Refuse("section stands twice", bbtini.WithWant("another name; the first is at "+first.String()))
+	}
+	switch s.Kind() {
+	case zoneKind:
+		b.zone(s)
+	case endpointKind:
+		b.endpoint(s)
+	case contractKind:
+		b.contract(s)
+	}
+	s.Done()
+}
+
+// finish makes the cross checks and returns the configuration.
+func (b *builder) finish(v bbtfleet.Version) (*bbtfleet.Configuration, error) {
+	for _, u := range b.uses {
+		b.resolve(u)
+	}
+	if err := b.report.Err(); err != nil {
+		return nil, err
+	}
+	return bbtfleet.NewConfiguration(v,
+		bbtfleet.WithZones(b.zones...),
+		bbtfleet.WithEndpoints(b.endpoints...),
+		bbtfleet.WithContracts(b.contracts...)), nil
+}
+
+// resolve reports a use of a name that no section defines.
+func (b *builder) resolve(u use) {
+	names := b.seen.names(u.of)
+	if names[u.name] || b.partial && len(names) == 0 {
+		return
+	}
+	b.report.Add(bbtini.NewProblem(u.at.file, u.at.line, "unknown "+u.of,
+		bbtini.WithSection(u.section), bbtini.WithKey(u.key), bbtini.WithValue(u.name),
+		bbtini.WithWant(fmt.Sprintf("a %s of this configuration", u.of))))
+}
--- /dev/null
+++ b/core/bbtconfig/manifest.go
@@ -0,0 +1,125 @@
+package bbtconfig
+
+import (
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtini"
+	"bluebelltray/core/bbtunit"
+)
+
+// ManifestKey is the key of the manifest in the configuration service.
+const ManifestKey = "manifest"
+
+// MaxPartSize is the largest value that the configuration service holds.
+const MaxPartSize = 1_000_000 * bbtunit.Byte
+
+// digestDigits is the length of a digest in hexadecimal.
+const digestDigits = 16
+
+// Manifest names the revision of a configuration and the parts that form it.
+type Manifest struct {
+	version bbtfleet.Version
+	parts   []PartRef
+}
+
+// Version returns the revision and the digest of the manifest's own text, which
+// covers the digests of all parts.
+func (m Manifest) Version() bbtfleet.Version { return m.version }
+
+// Revision returns the manifest's revision.
+func (m Manifest) Revision() bbtfleet.Revision { return m.version.Revision() }
+
+// Parts returns the parts in the manifest's order, which must not be changed.
+func (m Manifest) Parts() []PartRef { return m.parts }
+
+// ParseManifest reads a manifest. The error is a *bbtini.Error with all
+// problems.
+func ParseManifest(data []byte) (Manifest, error) {
+	var r bbtini.Report
+	p := manifestParser{seen: make(map[string]int)}
+	for s := range bbtini.Sections(ManifestKey, data, &r) {
+		p.section(s)
+	}
+	if p.line == 0 {
+		r.Add(bbtini.NewProblem(ManifestKey, 0, "has no revision", bbtini.WithWant("a section [manifest] with the key revision")))
+	}
+	if len(p.parts) == 0 {
+		r.Add(bbtini.NewProblem(ManifestKey, 0, "names no part", bbtini.WithWant("a section [part KEY] for each part")))
+	}
+	if err := r.Err(); err != nil {
+		return Manifest{}, err
+	}
+	return Manifest{version: bbtfleet.NewVersion(p.revision, xxhash.Sum64(data)), parts: p.parts}, nil
+}
+
+// manifestParser gathers the sections of a manifest.
+type manifestParser struct {
+	line     int // of the section [manifest]
+	revision bbtfleet.Revision
+	parts    []PartRef
+	seen     map[string]int // line of each part's section
+}
+
+// section reads one section.
+func (p *manifestParser) section(s *bbtini.Section) {
+	switch {
+	case s.Kind() == "manifest" && s.Name() == "":
+		p.head(s)
+	case s.Kind() == "part" && s.Name() != "":
+		p.part(s)
+	default:
+		s.Refuse("unknown section", bbtini.WithWant("[manifest] or [part KEY]"))
+	}
+}
+
+// head reads the section [manifest].
+func (p *manifestParser) head(s *bbtini.Section) {
+	if p.line > 0 {
+		s.Refuse("section stands twice", bbtini.WithWant("one section [manifest], as on line "+strconv.Itoa(p.line)))
+	}
+	p.line = s.Line()
+	p.revision, _ = bbtini.Require(s, "revision", parseRevision)
+	s.Done()
+}
+
+// part reads a section [part KEY].
+func (p *manifestParser) part(s *bbtini.Section) {
+	if first := p.seen[s.Name()]; first > 0 {
+		s.Refuse("part stands twice", bbtini.WithWant("one section for each part; the first is on line "+strconv.Itoa(first)))
+	}
+	if s.Name() == ManifestKey {
+		s.Refuse("part has the manifest's own key", bbtini.WithWant("another key"))
+	}
+	p.seen[s.Name()] = s.Line()
+	digest, _ := bbtini.Require(s, "digest", parseDigest)
+	size, _ := bbtini.Require(s, "size", parsePartSize)
+	s.Done()
+	p.parts = append(p.parts, PartRef{key: s.Name(), digest: digest, size: int(size)})
+}
+
+// parseRevision parses a manifest's revision.
+func parseRevision(text string) (bbtfleet.Revision, error) {
+	n, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || n == 0 {
+		return 0, bbtunit.Refuse(text, "is no revision", "a whole number from 1 that grows with each publication")
+	}
+	return bbtfleet.Revision(n), nil
+}
+
+// parseDigest parses the xxhash of a part's text.
+func parseDigest(text string) (uint64, error) {
+	d, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != digestDigits || strings.ToLower(text) != text {
+		return 0, bbtunit.Refuse(text, "is no digest", "the part's xxhash as 16 lower case hexadecimal digits")
+	}
+	return d, nil
+}
+
+// parsePartSize parses the length of a part's text.
+func parsePartSize(text string) (bbtunit.Size, error) {
+	return bbtunit.ParseSize(text, bbtunit.Byte, MaxPartSize)
+}
--- /dev/null
+++ b/core/bbtconfig/publish.go
@@ -0,0 +1,76 @@
+package bbtconfig
+
+import (
+	"bytes"
+	"fmt"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtunit"
+)
+
+// TargetPartSize is the size that Publish aims at for a part of contracts, in
+// bytes. A changed contract makes readers fetch one such part again, and a
+// starting host reads all of them.
+const TargetPartSize = 128 * bbtunit.Kibibyte
+
+// Publish returns the manifest and the parts that hold a configuration. The
+// contracts are spread over parts by the hash of their accounts, so that a
+// changed contract changes one part.
+func Publish(r bbtfleet.Revision, cfg *bbtfleet.Configuration) (manifest []byte, parts []Part) {
+	var zones, endpoints bytes.Buffer
+	for _, z := range cfg.Zones() {
+		appendSection(&zones, FormatZone(z))
+	}
+	for _, e := range cfg.Endpoints() {
+		appendSection(&endpoints, FormatEndpoint(e))
+	}
+	parts = appendPart(parts, "zones", zones.Bytes())
+	parts = appendPart(parts, "endpoints", endpoints.Bytes())
+	for i, text := range formatContracts(cfg.Contracts()) {
+		parts = appendPart(parts, fmt.Sprintf("contracts-%d", i+1), text)
+	}
+	return FormatManifest(r, parts), parts
+}
+
+// formatContracts returns the texts of the parts that hold the contracts. Their
+// number is a power of two, so that a growing fleet seldom moves contracts.
+func formatContracts(contracts []bbtfleet.Contract) [][]byte {
+	sections := make([][]byte, len(contracts))
+	total := 0
+	for i, c := range contracts {
+		sections[i] = FormatContract(c)
+		total += len(sections[i])
+	}
+	n := 1
+	for total > n*int(TargetPartSize) {
+		n *= 2
+	}
+	buffers := make([]bytes.Buffer, n)
+	for i, c := range contracts {
+		part := xxhash.Sum64String(string(c.Account())) % uint64(n)
+		appendSection(&buffers[part], sections[i])
+	}
+	texts := make([][]byte, n)
+	for i := range buffers {
+		texts[i] = buffers[i].Bytes()
+	}
+	return texts
+}
+
+// appendSection writes a section with a blank line before it.
+func appendSection(b *bytes.Buffer, section []byte) {
+	if b.Len() > 0 {
+		b.WriteByte('\n')
+	}
+	b.Write(section)
+}
+
+// appendPart adds a part unless it is empty.
+func appendPart(parts []Part, key string, text []byte) []Part {
+	if len(text) == 0 {
+		return parts
+	}
+	return append(parts, NewPart(key, text))
+}
--- /dev/null
+++ b/core/bbtini/block.go
@@ -0,0 +1,104 @@
+package bbtini
+
+import (
+	"bytes"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+)
+
+// block is the text of one section whose lines have been vetted, so that the
+// INI library reads each as one header or one key.
+type block struct {
+	file   string
+	header int // line of the header, zero before it is seen
+	text   []byte
+	keys   []keyLine
+}
+
+// keyLine is where a key stands.
+type keyLine struct {
+	key  string
+	line int
+}
+
+// options makes the library read one value a line.
+var options = ini.LoadOptions{
+	IgnoreContinuation:       true,
+	SpaceBeforeInlineComment: true,
+	KeyValueDelimiters:       "=",
+}
+
+// add vets a trimmed line and keeps it if it is sound.
+func (b *block) add(line int, trimmed []byte, header bool, r *Report) {
+	if header {
+		b.header = line
+		b.keep(trimmed)
+		return
+	}
+	if isComment(trimmed) {
+		return
+	}
+	p, ok := b.vet(line, trimmed)
+	if !ok {
+		r.Add(p)
+		return
+	}
+	b.keep(trimmed)
+}
+
+// keep appends a sound line to the text that the library will read.
+func (b *block) keep(trimmed []byte) {
+	b.text = append(append(b.text, trimmed...), '\n')
+}
+
+// vet checks one key's line and notes where the key stands.
+func (b *block) vet(line int, trimmed []byte) (Problem, bool) {
+	if !utf8.Valid(trimmed) {
+		return NewProblem(b.file, line, "line is not UTF-8 text", WithWant("UTF-8")), false
+	}
+	name, value, found := bytes.Cut(trimmed, []byte{'='})
+	name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
+	switch {
+	case !found:
+		return NewProblem(b.file, line, "line has no =", WithValue(string(trimmed)), WithWant("key = value")), false
+	case !isKebab(name):
+		return NewProblem(b.file, line, "is no key", WithValue(string(name)),
+			WithWant("lower case letters, digits and single dashes between them")), false
+	case b.header == 0:
+		return NewProblem(b.file, line, "key stands before the first section", WithKey(string(name)),
+			WithWant("a section header such as [manifest] above it")), false
+	case len(value) > 0 && (value[0] == '`' || bytes.HasPrefix(value, []byte(`"""`))):
+		return NewProblem(b.file, line, "value may span lines", WithKey(string(name)), WithValue(string(value)),
+			WithWant("the plain value on one line")), false
+	}
+	if first := b.lineOf(string(name)); first > 0 {
+		return NewProblem(b.file, line, "key stands twice in its section", WithKey(string(name)),
+			WithValue(string(value)), WithWant("one line for each key")), false
+	}
+	b.keys = append(b.keys, keyLine{key: string(name), line: line})
+	return Problem{}, true
+}
+
+// lineOf returns the line of a key, or zero.
+func (b *block) lineOf(key string) int {
+	for _, k := range b.keys {
+		if k.key == key {
+			return k.line
+		}
+	}
+	return 0
+}
+
+// load reads the block with the INI library.
+func (b *block) load(r *Report) (*Section, bool) {
+	f, err := ini.LoadSources(options, b.text)
+	if err != nil {
+		r.Add(NewProblem(b.file, b.header, "cannot be read: "+err.Error(), WithWant("[kind name]")))
+		return nil, false
+	}
+	f.BlockMode = false
+	sections := f.Sections()
+	raw := sections[len(sections)-1]
+	return newSection(b, raw, r)
+}
--- /dev/null
+++ b/core/bbtini/error.go
@@ -0,0 +1,31 @@
+package bbtini
+
+import (
+	"fmt"
+	"strings"
+)
+
+// shownProblems is how many problems the text of an Error names.
+const shownProblems = 10
+
+// Error holds all problems found in one or more files, in order of file and
+// line.
+type Error struct {
+	problems []Problem
+}
+
+// Problems returns all problems, which must not be changed.
+func (e *Error) Problems() []Problem { return e.problems }
+
+// Error lists the first problems, one a line, and the number of the others.
+func (e *Error) Error() string {
+	shown := e.problems[:min(len(e.problems), shownProblems)]
+	lines := make([]string, 0, len(shown)+1)
+	for _, p := range shown {
+		lines = append(lines, p.String())
+	}
+	if rest := len(e.problems) - len(shown); rest > 0 {
+		lines = append(lines, fmt.Sprintf("and %d more", rest))
+	}
+	return strings.Join(lines, "\n")
+}
--- /dev/null
+++ b/core/bbtini/read.go
@@ -0,0 +1,90 @@
+// Package bbtini reads INI text strictly: every fault is reported with its file
+// and line, unknown and repeated keys are refused, and a value stands on one
+// line.
+package bbtini
+
+import (
+	"bytes"
+	"iter"
+	"unicode"
+)
+
+// Sections yields the sections of a file in their order. It reports faults of
+// the text to r and goes on with the next line. One section is held in memory
+// at a time.
+func Sections(file string, data []byte, r *Report) iter.Seq[*Section] {
+	return func(yield func(*Section) bool) {
+		sp := splitter{file: file, rest: bytes.TrimPrefix(data, []byte(byteOrderMark)), report: r}
+		for {
+			block, ok := sp.next()
+			if !ok {
+				return
+			}
+			s, ok := block.load(r)
+			if ok && !yield(s) {
+				return
+			}
+		}
+	}
+}
+
+// byteOrderMark is UTF-8's mark, which some editors put before a file.
+const byteOrderMark = "\ufeff"
+
+// splitter cuts text into one block a section.
+type splitter struct {
+	file   string
+	rest   []byte
+	line   int
+	report *Report
+}
+
+// next returns the next section's block, or false at the end of the text.
+func (s *splitter) next() (block, bool) {
+	b := block{file: s.file}
+	for len(s.rest) > 0 {
+		line, rest := cutLine(s.rest)
+		trimmed := bytes.TrimSpace(line)
+		header := len(trimmed) > 0 && trimmed[0] == '['
+		if header && b.header > 0 {
+			return b, true
+		}
+		s.rest = rest
+		s.line++
+		b.add(s.line, trimmed, header, s.report)
+	}
+	return b, b.header > 0
+}
+
+// cutLine returns the first line of text and what follows it.
+func cutLine(text []byte) (line, rest []byte) {
+	line, rest, _ = bytes.Cut(text, []byte{'\n'})
+	return line, rest
+}
+
+// isComment reports whether a trimmed line holds no key.
+func isComment(trimmed []byte) bool {
+	return len(trimmed) == 0 || trimmed[0] == '#' || trimmed[0] == ';'
+}
+
+// isKebab reports whether name is a key in kebab case.
+func isKebab(name []byte) bool {
+	for i, c := range name {
+		lower := c >= 'a' && c <= 'z'
+		digit := c >= '0' && c <= '9'
+		dash := c == '-' && i > 0 && i < len(name)-1
+		if !lower && !dash && (!digit || i == 0) {
+			return false
+		}
+	}
+	return len(name) > 0
+}
+
+// firstField returns text up to its first space and what follows the space.
+func firstField(text string) (first, rest string) {
+	i := bytes.IndexFunc([]byte(text), unicode.IsSpace)
+	if i < 0 {
+		return text, ""
+	}
+	return text[:i], text[i+1:]
+}
--- /dev/null
+++ b/core/bbtini/report.go
@@ -0,0 +1,27 @@
+package bbtini
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Report collects problems. The zero value is empty and ready to use.
+type Report struct {
+	problems []Problem
+}
+
+// Add records a problem.
+func (r *Report) Add(p Problem) { r.problems = append(r.problems, p) }
+
+// Err returns an *Error with the problems in order of file and line, or nil if
+// there are none. Problems of one line stay in the order they were added.
+func (r *Report) Err() error {
+	if len(r.problems) == 0 {
+		return nil
+	}
+	sorted := slices.Clone(r.problems)
+	slices.SortStableFunc(sorted, func(a, b Problem) int {
+		return cmp.Or(cmp.Compare(a.file, b.file), cmp.Compare(a.line, b.line))
+	})
+	return &Error{problems: sorted}
+}
--- /dev/null
+++ b/core/bbtini/section.go
@@ -0,0 +1,114 @@
+package bbtini
+
+import (
+	"bytes"
+	"slices"
+	"strings"
+
+	"gopkg.in/ini.v1"
+)
+
+// MaxNameLength is the longest name of a section, in bytes.
+const MaxNameLength = 64
+
+// Section is one section with a header of the form [kind name] or [kind].
+type Section struct {
+	block  *block
+	kind   string
+	name   string
+	raw    *ini.Section
+	known  []string
+	report *Report
+}
+
+// newSection checks the header and returns the section.
+func newSection(b *block, raw *ini.Section, r *Report) (*Section, bool) {
+	kind, name := firstField(raw.Name())
+	s := &Section{block: b, kind: kind, name: strings.TrimSpace(name), raw: raw, report: r}
+	switch {
+	case !isKebab([]byte(kind)), s.name != "" && !IsName(s.name):
+		s.Refuse("is no section name", WithValue(raw.Name()),
+			WithWant("[kind name], the name of at most 64 letters, digits, dots, dashes and underscores"))
+		return nil, false
+	case !headerEnds(b.text):
+		s.Refuse("header has text after its bracket", WithWant("the header alone on its line"))
+		return nil, false
+	}
+	return s, true
+}
+
+// headerEnds reports whether nothing but a comment follows the header.
+func headerEnds(text []byte) bool {
+	line, _ := cutLine(text)
+	after := bytes.TrimSpace(line[bytes.LastIndexByte(line, ']')+1:])
+	return isComment(after)
+}
+
+// IsName reports whether name may name an item: 1 to MaxNameLength letters,
+// digits, dots, dashes and underscores.
+func IsName(name string) bool {
+	if name == "" || len(name) > MaxNameLength {
+		return false
+	}
+	for _, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && !strings.ContainsRune("._-", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+// Kind returns the header's first word.
+func (s *Section) Kind() string { return s.kind }
+
+// Name returns what follows the kind, or an empty string.
+func (s *Section) Name() string { return s.name }
+
+// File returns the file's name.
+func (s *Section) File() string { return s.block.file }
+
+// Line returns the header's line.
+func (s *Section) Line() int { return s.block.header }
+
+// LineOf returns the line of a key, or the header's if the key is missing.
+func (s *Section) LineOf(key string) int {
+	if line := s.block.lineOf(key); line > 0 {
+		return line
+	}
+	return s.block.header
+}
+
+// Title returns the kind and the name as in the header.
+func (s *Section) Title() string { return strings.TrimSpace(s.kind + " " + s.name) }
+
+// Refuse reports a problem of the section as a whole.
+func (s *Section) Refuse(reason string, opts ...ProblemOption) {
+	s.report.Add(NewProblem(s.block.file, s.block.header, reason, append(opts, WithSection(s.Title()))...))
+}
+
+// RefuseKey reports a problem of a key at its line.
+func (s *Section) RefuseKey(key, reason string, opts ...ProblemOption) {
+	opts = append(opts, WithSection(s.Title()), WithKey(key))
+	s.report.Add(NewProblem(s.block.file, s.LineOf(key), reason, opts...))
+}
+
+// Done reports the keys that were never asked for.
+func (s *Section) Done() {
+	for _, k := range s.block.keys {
+		if slices.Contains(s.known, k.key) {
+			continue
+		}
+		s.RefuseKey(k.key, "unknown key", WithWant("one of "+strings.Join(slices.Sorted(slices.Values(s.known)), ", ")))
+	}
+}
+
+// value returns the text of a key and whether the key stands in the section.
+func (s *Section) value(key string) (string, bool) {
+	s.known = append(s.known, key)
+	if s.block.lineOf(key) == 0 {
+		return "", false
+	}
+	return s.raw.Key(key).Value(), true
+}
--- /dev/null
+++ b/core/bbtunit/amount.go
@@ -0,0 +1,65 @@
+package bbtunit
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Unit names what an amount or a rate counts, in the plural.
+type Unit string
+
+// The units of contracts.
+const (
+	Requests Unit = "requests"
+	Tokens   Unit = "tokens"
+)
+
+// MaxAmount is the largest amount of a unit, in that unit.
+const MaxAmount = 1e12
+
+// perSecond follows the unit of a rate.
+const perSecond = "/s"
+
+// ParseRate parses a rate such as 40 tokens/s, in units a second. A rate is
+// positive.
+func ParseRate(text string, unit Unit) (float64, error) {
+	want := fmt.Sprintf("a positive rate such as 40 %s/s", unit)
+	return parseAmount(text, string(unit)+perSecond, want)
+}
+
+// ParseAmount parses a positive amount such as 200 tokens.
+func ParseAmount(text string, unit Unit) (float64, error) {
+	want := fmt.Sprintf("a positive amount such as 200 %s", unit)
+	return parseAmount(text, string(unit), want)
+}
+
+// FormatRate returns a text that ParseRate reads back exactly.
+func FormatRate(perSec float64, unit Unit) string {
+	return FormatAmount(perSec, unit) + perSecond
+}
+
+// FormatAmount returns a text that ParseAmount reads back exactly.
+func FormatAmount(n float64, unit Unit) string {
+	return strconv.FormatFloat(n, 'f', -1, 64) + " " + string(unit)
+}
+
+// parseAmount parses a number, a space and a unit.
+func parseAmount(text, unit, want string) (float64, error) {
+	number, rest, _ := strings.Cut(text, " ")
+	if strings.TrimSpace(rest) != unit {
+		return 0, newError(text, "has not the unit "+unit, want)
+	}
+	if strings.Trim(number, "0123456789.-") != "" {
+		return 0, newError(text, "has no decimal number before its unit", want)
+	}
+	n, err := strconv.ParseFloat(number, 64)
+	if err != nil || math.IsNaN(n) {
+		return 0, newError(text, "has no decimal number before its unit", want)
+	}
+	if n <= 0 || n > MaxAmount {
+		return 0, newError(text, "is out of range", want)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/core/bbtunit/count.go
@@ -0,0 +1,21 @@
+// Package bbtunit parses and prints values with units: durations, rates,
+// amounts, sizes and counts.
+package bbtunit
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// ParseCount parses a whole number that lies between low and high.
+func ParseCount(text string, low, high int) (int, error) {
+	want := fmt.Sprintf("a whole number from %d to %d", low, high)
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, newError(text, "is no whole number", want)
+	}
+	if n < low || n > high {
+		return 0, newError(text, "is out of range", want)
+	}
+	return n, nil
+}
--- /dev/null
+++ b/core/bbtunit/size.go
@@ -0,0 +1,62 @@
+package bbtunit
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Size is a number of bytes.
+type Size int64
+
+// The units of sizes.
+const (
+	Byte     Size = 1
+	Kibibyte      = 1024 * Byte
+	Mebibyte      = 1024 * Kibibyte
+	Gibibyte      = 1024 * Mebibyte
+)
+
+// sizeUnit is one suffix of a size.
+type sizeUnit struct {
+	suffix string
+	size   Size
+}
+
+// sizeUnits holds the suffixes, the largest unit first.
+var sizeUnits = [...]sizeUnit{
+	{suffix: "GiB", size: Gibibyte},
+	{suffix: "MiB", size: Mebibyte},
+	{suffix: "KiB", size: Kibibyte},
+	{suffix: "B", size: Byte},
+}
+
+// ParseSize parses a size such as 64KiB that lies between low and high.
+func ParseSize(text string, low, high Size) (Size, error) {
+	want := fmt.Sprintf("a size from %s to %s, such as 64KiB", FormatSize(low), FormatSize(high))
+	for _, u := range sizeUnits {
+		number, ok := strings.CutSuffix(text, u.suffix)
+		if !ok {
+			continue
+		}
+		n, err := strconv.ParseUint(number, 10, 63)
+		if err != nil {
+			return 0, newError(text, "has no whole number before its unit", want)
+		}
+		if n > uint64(high/u.size) || Size(n)*u.size < low {
+			return 0, newError(text, "is out of range", want)
+		}
+		return Size(n) * u.size, nil
+	}
+	return 0, newError(text, "has not the unit B, KiB, MiB or GiB", want)
+}
+
+// FormatSize returns a text that ParseSize reads back exactly.
+func FormatSize(n Size) string {
+	for _, u := range sizeUnits {
+		if n >= u.size && n%u.size == 0 {
+			return fmt.Sprintf("%d%s", n/u.size, u.suffix)
+		}
+	}
+	return fmt.Sprintf("%d%s", n, "B")
+}
