--- a/core/bbtconfig/fields.go
+++ b/core/bbtconfig/fields.go
@@ -1,12 +1,9 @@
 package bbtconfig
 
 import (
-	"net/netip"
-	"strings"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
-	"bluebelltray/core/bbtini"
 	"bluebelltray/core/bbtunit"
 )
 
@@ -21,54 +18,26 @@
 // unlimited stands in place of a rate without a limit.
 const unlimited = "unlimited"
 
-// parseName parses the name of a zone, region or pool.
-func parseName(text string) (string, error) {
-	if !bbtini.IsName(text) {
-		return "", bbtunit.Refuse(text, "is no name", "1 to 64 letters, digits, dots, dashes and underscores")
-	}
-	return strings.Clone(text), nil
-}
-
 // parseOut parses the state of a zone or endpoint; true means out.
 func parseOut(text string) (bool, error) {
-	switch text {
-	case "in":
-		return false, nil
-	case "out":
-		return true, nil
-	}
-	return false, bbtunit.Refuse(text, "is no state", "in or out")
+	word, err := bbtunit.ParseWord(text, "in", "out")
+	return word == "out", err
 }
 
 // parseYes parses a switch.
 func parseYes(text string) (bool, error) {
-	switch text {
-	case "yes":
-		return true, nil
-	case "no":
-		return false, nil
-	}
-	return false, bbtunit.Refuse(text, "is no switch", "yes or no")
+	word, err := bbtunit.ParseWord(text, "yes", "no")
+	return word == "yes", err
 }
 
 // parseKind parses an endpoint's kind.
 func parseKind(text string) (bbtfleet.Kind, error) {
-	for _, k := range []bbtfleet.Kind{bbtfleet.ModelEngine, bbtfleet.PlainService} {
-		if text == k.String() {
-			return k, nil
-		}
-	}
-	return 0, bbtunit.Refuse(text, "is no kind of endpoint", "model-engine or plain-service")
-}
-
-// parseAddr parses a TCP address and returns it in its shortest form, so that
-// equal addresses are equal texts.
-func parseAddr(text string) (string, error) {
-	addr, err := netip.ParseAddrPort(text)
-	if err != nil || addr.Port() == 0 {
-		return "", bbtunit.Refuse(text, "is no address", "an IP number and a port, such as 10.0.0.1:8000")
+	service := bbtfleet.PlainService.String()
+	word, err := bbtunit.ParseWord(text, bbtfleet.ModelEngine.String(), service)
+	if word == service {
+		return bbtfleet.PlainService, err
 	}
-	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()).String(), nil
+	return bbtfleet.ModelEngine, err
 }
 
 // parseSlots parses how many requests an endpoint runs at once.
--- a/core/bbtconfig/sections.go
+++ b/core/bbtconfig/sections.go
@@ -10,19 +10,19 @@
 
 // zone reads a section [zone NAME].
 func (b *builder) zone(s *bbtini.Section) {
-	region, _ := bbtini.Require(s, "region", parseName)
+	region, _ := bbtini.Require(s, "region", bbtini.ParseName)
 	out, _ := bbtini.Optional(s, "state", false, parseOut)
 	b.zones = append(b.zones, bbtfleet.NewZone(bbtfleet.ZoneID(strings.Clone(s.Name())), region, out))
 }
 
 // endpoint reads a section [endpoint NAME].
 func (b *builder) endpoint(s *bbtini.Section) {
-	zone, ok := bbtini.Require(s, "zone", parseName)
+	zone, ok := bbtini.Require(s, "zone", bbtini.ParseName)
 	if ok {
 		b.uses = append(b.uses, newUse(s, "zone", zoneKind, zone))
 	}
 	kind, _ := bbtini.Require(s, "kind", parseKind)
-	pool, ok := bbtini.Require(s, "pool", parseName)
+	pool, ok := bbtini.Require(s, "pool", bbtini.ParseName)
 	if ok {
 		b.seen.pools[pool] = true
 	}
@@ -41,7 +41,7 @@
 // has.
 func (b *builder) address(s *bbtini.Section) string {
 	const key = "address"
-	addr, ok := bbtini.Require(s, key, parseAddr)
+	addr, ok := bbtini.Require(s, key, bbtunit.ParseAddr)
 	if !ok {
 		return ""
 	}
--- /dev/null
+++ b/core/bbtini/name.go
@@ -0,0 +1,34 @@
+package bbtini
+
+import (
+	"strings"
+
+	"bluebelltray/core/bbtunit"
+)
+
+// MaxNameLength is the longest name of a section or item, in bytes.
+const MaxNameLength = 64
+
+// IsName reports whether name may name an item: 1 to MaxNameLength letters,
+// digits, dots, dashes and underscores.
+func IsName(name string) bool {
+	if name == "" || len(name) > MaxNameLength {
+		return false
+	}
+	for _, c := range []byte(name) {
+		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
+		digit := c >= '0' && c <= '9'
+		if !letter && !digit && !strings.ContainsRune("._-", rune(c)) {
+			return false
+		}
+	}
+	return true
+}
+
+// ParseName parses the name of an item. The name does not keep text alive.
+func ParseName(text string) (string, error) {
+	if !IsName(text) {
+		return "", bbtunit.Refuse(text, "is no name", "1 to 64 letters, digits, dots, dashes and underscores")
+	}
+	return strings.Clone(text), nil
+}
--- a/core/bbtini/section.go
+++ b/core/bbtini/section.go
@@ -8,9 +8,6 @@
 	"gopkg.in/ini.v1"
 )
 
-// MaxNameLength is the longest name of a section, in bytes.
-const MaxNameLength = 64
-
 // Section is one section with a header of the form [kind name] or [kind].
 type Section struct {
 	block  *block
@@ -44,22 +41,6 @@
 	return isComment(after)
 }
 
-// IsName reports whether name may name an item: 1 to MaxNameLength letters,
-// digits, dots, dashes and underscores.
-func IsName(name string) bool {
-	if name == "" || len(name) > MaxNameLength {
-		return false
-	}
-	for _, c := range []byte(name) {
-		letter := c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z'
-		digit := c >= '0' && c <= '9'
-		if !letter && !digit && !strings.ContainsRune("._-", rune(c)) {
-			return false
-		}
-	}
-	return true
-}
-
 // Kind returns the header's first word.
 func (s *Section) Kind() string { return s.kind }
 
--- /dev/null
+++ b/core/bbtunit/addr.go
@@ -0,0 +1,13 @@
+package bbtunit
+
+import "net/netip"
+
+// ParseAddr parses an address of an IP number and a port and returns its
+// shortest form, so that equal addresses are equal texts.
+func ParseAddr(text string) (string, error) {
+	addr, err := netip.ParseAddrPort(text)
+	if err != nil || addr.Port() == 0 || addr.Addr().Zone() != "" {
+		return "", newError(text, "is no address", "an IP number and a port, such as 10.0.0.1:8000")
+	}
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port()).String(), nil
+}
--- a/core/bbtunit/count.go
+++ b/core/bbtunit/count.go
@@ -1,5 +1,5 @@
-// Package bbtunit parses and prints values with units: durations, rates,
-// amounts, sizes and counts.
+// Package bbtunit parses and prints single values of settings and contracts:
+// durations, rates, amounts, sizes, counts, addresses and words.
 package bbtunit
 
 import (
