core: view, ownership and membership state machines

The configuration and host list in force, the placement of endpoints and client accounts, and the detection of dead peers each get a state machine: typed events in, typed actions out, no I/O.

--- /dev/null
+++ b/core/bbtmember/action.go
@@ -0,0 +1,44 @@
+package bbtmember
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtview"
+)
+
+// Action is something the driver of a Member has to do.
+type Action interface{ action() }
+
+// Send asks for a message to be sent to a host. It may be lost.
+type Send struct {
+	To      bbtfleet.HostID
+	Message Message
+}
+
+// Changed says that a host's state is another from now on.
+type Changed struct {
+	Host  bbtfleet.HostID
+	State State
+}
+
+// DigestSeen gives a peer's view. Asked is the local time at which the question
+// was sent that it answers, zero if it answers none.
+type DigestSeen struct {
+	Host   bbtfleet.HostID
+	Digest bbtview.Digest
+	Asked  time.Time
+}
+
+// Neighbours says which hosts the Member probes from now on.
+type Neighbours struct{ Hosts []bbtfleet.HostID }
+
+// Paused says that the local process did not run for a while, so that what it
+// knows must be confirmed before it is used.
+type Paused struct{ Gap time.Duration }
+
+func (Send) action()       {}
+func (Changed) action()    {}
+func (DigestSeen) action() {}
+func (Neighbours) action() {}
+func (Paused) action()     {}
--- /dev/null
+++ b/core/bbtmember/receive.go
@@ -0,0 +1,134 @@
+package bbtmember
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtview"
+)
+
+// Receive handles a message from a host; d is the host's own view.
+func (m *Member) Receive(now time.Time, from bbtfleet.HostID, msg Message, d bbtview.Digest) []Action {
+	switch msg := msg.(type) {
+	case Ping:
+		return m.receivePing(now, from, msg, d)
+	case Ack:
+		return m.receiveAck(now, from, msg)
+	case Relay:
+		return m.receiveRelay(now, from, msg, d)
+	case Relayed:
+		return m.receiveRelayed(msg)
+	}
+	return nil
+}
+
+// receivePing answers a Ping and learns from it.
+func (m *Member) receivePing(now time.Time, from bbtfleet.HostID, msg Ping, d bbtview.Digest) []Action {
+	actions := m.heard(now, from, msg.Incarnation, msg.Round)
+	actions = append(actions, m.merge(now, msg.Changes)...)
+	ack := Ack{Seq: msg.Seq, Incarnation: m.incarnation, Round: m.round, Digest: d, Changes: m.changesFor(from)}
+	return append(actions, Send{To: from, Message: ack}, DigestSeen{Host: from, Digest: msg.Digest})
+}
+
+// receiveAck closes a probe and learns from the answer.
+func (m *Member) receiveAck(now time.Time, from bbtfleet.HostID, msg Ack) []Action {
+	actions := m.heard(now, from, msg.Incarnation, msg.Round)
+	actions = append(actions, m.merge(now, msg.Changes)...)
+	seen := DigestSeen{Host: from, Digest: msg.Digest}
+	pr, ok := m.probes.take(msg.Seq)
+	if !ok || pr.target != from {
+		return append(actions, seen)
+	}
+	seen.Asked = pr.sent
+	if p := m.peers[from]; p != nil && pr.sent.After(p.contact.acked) {
+		p.contact.acked = pr.sent
+		p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
+	}
+	if pr.asker != "" {
+		actions = append(actions, Send{To: pr.asker, Message: Relayed{Seq: pr.askSeq}})
+	}
+	return append(actions, seen)
+}
+
+// receiveRelay probes the target for the host that asks.
+func (m *Member) receiveRelay(now time.Time, from bbtfleet.HostID, msg Relay, d bbtview.Digest) []Action {
+	target := bbtfleet.HostID(msg.Target)
+	if m.peers[target] == nil {
+		return nil
+	}
+	return []Action{m.pingFor(now, d, probe{target: target, asker: from, askSeq: msg.Seq})}
+}
+
+// receiveRelayed closes a probe that another host has made.
+func (m *Member) receiveRelayed(msg Relayed) []Action {
+	m.probes.take(msg.Seq)
+	return nil
+}
+
+// heard records a message that came straight from the host, which proves that
+// its process runs.
+func (m *Member) heard(now time.Time, from bbtfleet.HostID, incarnation uint64, round uint32) []Action {
+	p := m.peers[from]
+	if p == nil {
+		return nil
+	}
+	if incarnation < p.incarnation {
+		return nil
+	}
+	p.contact.heard = now
+	p.contact.incarnation = bbtfleet.Incarnation(incarnation)
+	if incarnation == p.incarnation && round <= p.round {
+		return nil
+	}
+	return m.apply(now, Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive})
+}
+
+// merge applies changes that others report.
+func (m *Member) merge(now time.Time, changes []Change) []Action {
+	var actions []Action
+	for _, c := range changes {
+		if bbtfleet.HostID(c.Host) == m.self {
+			m.refute(c)
+			continue
+		}
+		actions = append(actions, m.apply(now, c)...)
+	}
+	return actions
+}
+
+// refute raises the round when others wrongly believe that this process is not
+// alive.
+func (m *Member) refute(c Change) {
+	if c.Incarnation != m.incarnation || c.Round < m.round || c.State == Alive || c.State == Leaving {
+		return
+	}
+	m.round = c.Round + 1
+	m.announce(Change{Host: string(m.self), Incarnation: m.incarnation, Round: m.round, State: m.state})
+}
+
+// apply takes a newer change and sends it on.
+func (m *Member) apply(now time.Time, c Change) []Action {
+	p := m.peers[bbtfleet.HostID(c.Host)]
+	if p == nil || !p.replacedBy(c) {
+		return nil
+	}
+	before := p.state
+	first := p.incarnation == 0 && c.State == Alive
+	p.incarnation, p.round, p.state = c.Incarnation, c.Round, c.State
+	if first {
+		return nil
+	}
+	m.queue.add(c)
+	if c.State == Suspect {
+		p.suspected = now
+	}
+	if c.State == before {
+		return nil
+	}
+	m.eager = m.eager || c.State != Suspect
+	actions := []Action{Changed{Host: p.id, State: c.State}}
+	if before >= Leaving || c.State >= Leaving {
+		actions = append(actions, m.chooseNeighbours()...)
+	}
+	return actions
+}
--- /dev/null
+++ b/core/bbtmember/tick.go
@@ -0,0 +1,202 @@
+package bbtmember
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtview"
+)
+
+// Tick does what is due at now. It is to be called every TickInterval; d is the
+// host's own view.
+func (m *Member) Tick(now time.Time, d bbtview.Digest) []Action {
+	gap := now.Sub(m.lastTick)
+	first := m.lastTick.IsZero()
+	m.lastTick = now
+	if !first && gap > PauseGap {
+		m.resume(now)
+		return []Action{Paused{Gap: gap}}
+	}
+	actions := m.expireProbes(now, d)
+	actions = append(actions, m.expireSuspects(now)...)
+	actions = append(actions, m.probePartners(now, d)...)
+	actions = append(actions, m.probeNeighbour(now, d)...)
+	return append(actions, m.tellEagerly(now, d)...)
+}
+
+// resume forgets what ran out while the local process did not run.
+func (m *Member) resume(now time.Time) {
+	m.probes.clear()
+	for _, p := range m.peers {
+		p.contact.heard = now
+		p.suspected = now
+	}
+}
+
+// expireProbes asks others to probe for unanswered probes and suspects the
+// targets that they don't reach either.
+func (m *Member) expireProbes(now time.Time, d bbtview.Digest) []Action {
+	var actions []Action
+	for _, pr := range m.probes.expire(now.Add(-AckTimeout)) {
+		if pr.asker != "" || m.peers[pr.target] == nil {
+			continue
+		}
+		if !pr.relayed {
+			actions = append(actions, m.relay(now, pr)...)
+			continue
+		}
+		actions = append(actions, m.suspect(now, d, pr.target)...)
+	}
+	return actions
+}
+
+// relay asks neighbours to probe the target of an unanswered probe.
+func (m *Member) relay(now time.Time, pr probe) []Action {
+	seq := m.probes.add(probe{target: pr.target, sent: now, relayed: true})
+	var actions []Action
+	for _, id := range m.sample(relayHosts, pr.target) {
+		actions = append(actions, Send{To: id, Message: Relay{Seq: seq, Target: string(pr.target)}})
+	}
+	return actions
+}
+
+// suspect marks the host as suspect and tells it, so that it can refute.
+func (m *Member) suspect(now time.Time, d bbtview.Digest, id bbtfleet.HostID) []Action {
+	p := m.peers[id]
+	if p.state != Alive {
+		return nil
+	}
+	p.state = Suspect
+	p.suspected = now
+	m.queue.add(p.change())
+	return []Action{Changed{Host: id, State: Suspect}, m.ping(now, d, id)}
+}
+
+// expireSuspects declares the hosts dead that have not refuted in time.
+func (m *Member) expireSuspects(now time.Time) []Action {
+	var actions []Action
+	for _, id := range slices.Sorted(maps.Keys(m.peers)) {
+		p := m.peers[id]
+		if p.state != Suspect || now.Sub(p.suspected) < SuspectTimeout {
+			continue
+		}
+		p.state = Dead
+		m.announce(p.change())
+		actions = append(actions, Changed{Host: id, State: Dead})
+	}
+	if len(actions) > 0 {
+		actions = append(actions, m.chooseNeighbours()...)
+	}
+	return actions
+}
+
+// probePartners probes the partners one after another, each once every
+// PartnerInterval.
+func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
+	if len(m.partners) == 0 {
+		return nil
+	}
+	step := PartnerInterval / time.Duration(len(m.partners))
+	if m.nextPartner.IsZero() {
+		m.nextPartner = now
+	}
+	var actions []Action
+	for !now.Before(m.nextPartner) {
+		m.nextPartner = m.nextPartner.Add(step)
+		m.partner = (m.partner + 1) % len(m.partners)
+		actions = append(actions, m.ping(now, d, m.partners[m.partner]))
+	}
+	return actions
+}
+
+// probeNeighbour probes the next neighbour, now and then a host believed dead.
+func (m *Member) probeNeighbour(now time.Time, d bbtview.Digest) []Action {
+	if m.nextProbe.IsZero() {
+		m.nextProbe = now.Add(time.Duration(m.rng.Int64N(int64(ProbeInterval))))
+	}
+	if now.Before(m.nextProbe) {
+		return nil
+	}
+	m.nextProbe = now.Add(ProbeInterval)
+	m.rounds++
+	if m.rounds%deadProbeRate == 0 {
+		if id, ok := m.randomDead(); ok {
+			return []Action{m.ping(now, d, id)}
+		}
+	}
+	for range m.neighbours {
+		m.next = (m.next + 1) % len(m.neighbours)
+		id := m.neighbours[m.next]
+		if !slices.Contains(m.partners, id) {
+			return []Action{m.ping(now, d, id)}
+		}
+	}
+	return nil
+}
+
+// randomDead returns a host of the host list that is believed dead.
+func (m *Member) randomDead() (bbtfleet.HostID, bool) {
+	var dead []bbtfleet.HostID
+	for _, pt := range m.ring.points {
+		if p := m.peers[pt.id]; p != nil && p.state == Dead {
+			dead = append(dead, pt.id)
+		}
+	}
+	if len(dead) == 0 {
+		return "", false
+	}
+	return dead[m.rng.IntN(len(dead))], true
+}
+
+// tellEagerly sends new changes to some neighbours.
+func (m *Member) tellEagerly(now time.Time, d bbtview.Digest) []Action {
+	if !m.eager {
+		return nil
+	}
+	m.eager = false
+	var actions []Action
+	for _, id := range m.sample(eagerHosts, "") {
+		actions = append(actions, m.ping(now, d, id))
+	}
+	return actions
+}
+
+// ping returns a Ping to the host. A suspect is told of the suspicion.
+func (m *Member) ping(now time.Time, d bbtview.Digest, id bbtfleet.HostID) Send {
+	return m.pingFor(now, d, probe{target: id})
+}
+
+// pingFor returns a Ping for the probe.
+func (m *Member) pingFor(now time.Time, d bbtview.Digest, pr probe) Send {
+	pr.sent = now
+	seq := m.probes.add(pr)
+	changes := m.changesFor(pr.target)
+	return Send{To: pr.target, Message: Ping{Seq: seq, Incarnation: m.incarnation, Round: m.round, Digest: d, Changes: changes}}
+}
+
+// changesFor returns the changes for one message to the host, what is wrongly
+// believed of it first.
+func (m *Member) changesFor(id bbtfleet.HostID) []Change {
+	changes := m.queue.next()
+	p := m.peers[id]
+	if p == nil || p.state == Alive || p.state == Leaving {
+		return changes
+	}
+	if len(changes) == MaxChanges {
+		changes = changes[:MaxChanges-1]
+	}
+	return append(changes, p.change())
+}
+
+// sample returns up to n neighbours other than not, in random order.
+func (m *Member) sample(n int, not bbtfleet.HostID) []bbtfleet.HostID {
+	var out []bbtfleet.HostID
+	for _, i := range m.rng.Perm(len(m.neighbours)) {
+		if m.neighbours[i] != not && len(out) < n {
+			out = append(out, m.neighbours[i])
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/bbtowner/map.go
@@ -0,0 +1,162 @@
+package bbtowner
+
+import (
+	"cmp"
+	"slices"
+
+	"bluebelltray/core/bbtfleet"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Claimants is the number of hosts that may own an endpoint under one host
+// list: the owner and its successors.
+const Claimants = 3
+
+// accountHomes is the number of home hosts of a client account.
+const accountHomes = 2
+
+// callerAddresses is the number of host addresses a caller is given.
+const callerAddresses = 3
+
+// Map places endpoints, client accounts and keys on the live hosts of one
+// view. It remembers the ranks it computes and is not safe for concurrent use.
+type Map struct {
+	config *bbtfleet.Configuration
+	list   bbtfleet.Revision
+	hosts  []bucket
+	ranks  map[bbtfleet.EndpointID][]bbtfleet.HostID
+}
+
+// NewMap returns the placement over the live hosts of list. The configuration
+// may be nil.
+func NewMap(cfg *bbtfleet.Configuration, list bbtfleet.HostList) *Map {
+	if cfg == nil {
+		cfg = bbtfleet.NewConfiguration(bbtfleet.Version{})
+	}
+	m := &Map{config: cfg, list: list.Revision(), ranks: make(map[bbtfleet.EndpointID][]bbtfleet.HostID)}
+	for _, h := range list.Hosts() {
+		if h.State() == bbtfleet.HostLive {
+			m.hosts = append(m.hosts, bucket{host: h, hash: xxhash.Sum64String(string(h.ID()))})
+		}
+	}
+	slices.SortFunc(m.hosts, func(a, b bucket) int { return cmp.Compare(a.host.ID(), b.host.ID()) })
+	return m
+}
+
+// Configuration returns the configuration the placement was made from.
+func (m *Map) Configuration() *bbtfleet.Configuration { return m.config }
+
+// Hosts returns the revision of the host list.
+func (m *Map) Hosts() bbtfleet.Revision { return m.list }
+
+// Owner returns the host that owns the endpoint when all hosts are up, and
+// whether there is one.
+func (m *Map) Owner(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
+	ranks := m.Ranks(id)
+	if len(ranks) == 0 {
+		return "", false
+	}
+	return ranks[0], true
+}
+
+// Successors returns the hosts that own the endpoint when those before them
+// do not, in order. They must not be changed.
+func (m *Map) Successors(id bbtfleet.EndpointID) []bbtfleet.HostID {
+	ranks := m.Ranks(id)
+	return ranks[min(1, len(ranks)):]
+}
+
+// Ranks returns the owner and the successors of the endpoint; they must not be
+// changed. They are not all in one zone where another zone has a live host.
+func (m *Map) Ranks(id bbtfleet.EndpointID) []bbtfleet.HostID {
+	if ranks, ok := m.ranks[id]; ok {
+		return ranks
+	}
+	e, _ := m.config.Endpoint(id)
+	ranks := m.rank(id, e.Zone())
+	m.ranks[id] = ranks
+	return ranks
+}
+
+// Rank returns the host's place in the endpoint's ranks and whether it has one.
+func (m *Map) Rank(id bbtfleet.EndpointID, host bbtfleet.HostID) (int, bool) {
+	i := slices.Index(m.Ranks(id), host)
+	return i, i >= 0
+}
+
+// Homes returns the home hosts of the client account, of which the first
+// counts its use.
+func (m *Map) Homes(id bbtfleet.AccountID) []bbtfleet.HostID {
+	best := newRanking(accountHomes)
+	key := accountHash(id)
+	for _, b := range m.hosts {
+		best.offer(b, b.score(key))
+	}
+	return best.ids()
+}
+
+// KeyHome returns the host that issues tickets for an idempotency key of the
+// client account, and whether there is one.
+func (m *Map) KeyHome(id bbtfleet.AccountID, key string) (bbtfleet.HostID, bool) {
+	best := newRanking(1)
+	h := keyHash(id, key)
+	for _, b := range m.hosts {
+		best.offer(b, b.score(h))
+	}
+	if len(best.entries) == 0 {
+		return "", false
+	}
+	return best.ids()[0], true
+}
+
+// Addresses returns the caller addresses that a caller of the client account
+// is given, the account's home hosts first. No host of a zone that is out is
+// among them.
+func (m *Map) Addresses(id bbtfleet.AccountID) []string {
+	best := newRanking(callerAddresses)
+	key := accountHash(id)
+	for _, b := range m.hosts {
+		if !m.zoneOut(b.host.Zone()) {
+			best.offer(b, b.score(key))
+		}
+	}
+	return best.addrs()
+}
+
+// rank computes the ranks of an endpoint in the zone.
+func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
+	key := endpointHash(id)
+	best := newRanking(Claimants)
+	for _, b := range m.hosts {
+		best.offer(b, b.near(key, zone))
+	}
+	if best.zones() == 1 {
+		m.replaceLast(&best, key)
+	}
+	return best.ids()
+}
+
+// replaceLast puts the best host of another zone in the last rank, so that the
+// death of a zone leaves a successor.
+func (m *Map) replaceLast(r *ranking, key uint64) {
+	zone := r.entries[0].bucket.host.Zone()
+	other := newRanking(1)
+	for _, b := range m.hosts {
+		if b.host.Zone() != zone {
+			other.offer(b, b.score(key))
+		}
+	}
+	if len(other.entries) == 0 {
+		return
+	}
+	if len(r.entries) == Claimants {
+		r.entries = r.entries[:Claimants-1]
+	}
+	r.entries = append(r.entries, other.entries[0])
+}
+
+// zoneOut reports whether operators have taken the zone out.
+func (m *Map) zoneOut(id bbtfleet.ZoneID) bool {
+	z, _ := m.config.Zone(id)
+	return z.Out()
+}
--- /dev/null
+++ b/core/bbtowner/ranking.go
@@ -0,0 +1,66 @@
+package bbtowner
+
+import "bluebelltray/core/bbtfleet"
+
+// entry is a host with its score.
+type entry struct {
+	bucket bucket
+	score  uint64
+}
+
+// ranking keeps the hosts of highest score in descending order. Among equal
+// scores the host offered first stays ahead.
+type ranking struct {
+	entries []entry
+	limit   int
+}
+
+// newRanking returns a ranking of at most limit hosts.
+func newRanking(limit int) ranking {
+	return ranking{entries: make([]entry, 0, limit+1), limit: limit}
+}
+
+// offer adds the host if its score is among the highest.
+func (r *ranking) offer(b bucket, score uint64) {
+	if len(r.entries) == r.limit && score <= r.entries[r.limit-1].score {
+		return
+	}
+	r.entries = append(r.entries, entry{bucket: b, score: score})
+	for i := len(r.entries) - 1; i > 0 && r.entries[i].score > r.entries[i-1].score; i-- {
+		r.entries[i], r.entries[i-1] = r.entries[i-1], r.entries[i]
+	}
+	r.entries = r.entries[:min(len(r.entries), r.limit)]
+}
+
+// ids returns the hosts' names in order.
+func (r *ranking) ids() []bbtfleet.HostID {
+	out := make([]bbtfleet.HostID, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, e.bucket.host.ID())
+	}
+	return out
+}
+
+// addrs returns the hosts' caller addresses in order.
+func (r *ranking) addrs() []string {
+	out := make([]string, 0, len(r.entries))
+	for _, e := range r.entries {
+		out = append(out, e.bucket.host.CallerAddr())
+	}
+	return out
+}
+
+// zones returns the number of availability zones among the hosts.
+func (r *ranking) zones() int {
+	n := 0
+	for i, e := range r.entries {
+		seen := false
+		for _, before := range r.entries[:i] {
+			seen = seen || before.bucket.host.Zone() == e.bucket.host.Zone()
+		}
+		if !seen {
+			n++
+		}
+	}
+	return n
+}
