core: tickets, ledger, key homes, executor and suspects

A refusal that says not run voids the ticket first, because an earlier presentation of it may still be under way and would make the verdict false. Ruled out: returning the same ticket with the refusal. The examples are the only tests so far.

--- /dev/null
+++ b/core/bbtexec/refusal.go
@@ -0,0 +1,38 @@
+package bbtexec
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtverdict"
+)
+
+// refusal is the end of a call without an answer.
+type refusal struct {
+	verdict    bbtverdict.Verdict
+	reason     bbtverdict.Reason
+	retryAfter time.Duration
+	ticket     string
+}
+
+// notRun returns a refusal of a request that did not run and, if it carried a
+// ticket, never will.
+func notRun(r bbtverdict.Reason) refusal { return refusal{verdict: bbtverdict.NotRun, reason: r} }
+
+// mayHaveRun returns a refusal of a request whose execution is unknown.
+func mayHaveRun(r bbtverdict.Reason) refusal {
+	return refusal{verdict: bbtverdict.MayHaveRun, reason: r}
+}
+
+// notReached returns the refusal of a presentation that reached no executor:
+// it did not run if it is the request's only one.
+func notReached(first bool, r bbtverdict.Reason) refusal {
+	if first {
+		return notRun(r)
+	}
+	return mayHaveRun(r)
+}
+
+// err returns the refusal as an error.
+func (r refusal) err() *bbtverdict.Error {
+	return bbtverdict.New(r.verdict, r.reason, bbtverdict.WithRetryAfter(r.retryAfter))
+}
--- /dev/null
+++ b/core/bbtexec/submit.go
@@ -0,0 +1,163 @@
+package bbtexec
+
+import (
+	"time"
+
+	"bluebelltray/core/bbthome"
+	"bluebelltray/core/bbtledger"
+	"bluebelltray/core/bbtticket"
+	"bluebelltray/core/bbtverdict"
+)
+
+// submit starts a caller's request.
+func (e *Executor) submit(now time.Time, s Submit) {
+	c := &call{
+		id:          s.Call,
+		account:     s.Account,
+		ticket:      s.Ticket,
+		key:         bbtticket.Digest(s.Account, s.Key),
+		fingerprint: s.Fingerprint,
+		first:       s.First,
+		repeatable:  s.Repeatable && s.Ticket == "",
+	}
+	e.calls[c.id] = c
+	switch {
+	case c.repeatable:
+		e.do(Run{Call: c.id})
+	case c.ticket != "":
+		e.route(now, c)
+	case c.key != 0:
+		e.askHome(now, c)
+	default:
+		e.refuse(c, e.unkeyed(now, c, notRun(bbtverdict.ReasonTicketRequired)))
+	}
+}
+
+// route passes a call with a ticket to the ticket's executor.
+func (e *Executor) route(now time.Time, c *call) {
+	t, err := bbtticket.Parse(c.ticket)
+	if err != nil {
+		e.refuse(c, notReached(c.first, bbtverdict.ReasonTicketInvalid))
+		return
+	}
+	if t.Host() == e.issuer.Host() {
+		e.execute(now, c)
+		return
+	}
+	e.send(now, c, t.Host(), func(r Request) Message {
+		return ForwardRequest{
+			Request:     r,
+			Account:     c.account,
+			Ticket:      c.ticket,
+			Fingerprint: c.fingerprint,
+			First:       c.first,
+		}
+	})
+}
+
+// execute presents a call's ticket to this host's ledger.
+func (e *Executor) execute(now time.Time, c *call) {
+	t, fault := e.verify(now, c)
+	if fault != nil {
+		e.refuse(c, *fault)
+		return
+	}
+	c.key = t.Key()
+	state, match := e.ledger.Begin(now, t.Sequence(), c.account, c.fingerprint)
+	if !match {
+		e.refuse(c, notRun(bbtverdict.ReasonTicketMismatch))
+		return
+	}
+	c.seq = t.Sequence()
+	switch state {
+	case bbtledger.Issued:
+		e.attached[c.seq] = []CallID{c.id}
+		e.do(Run{Call: c.id})
+	case bbtledger.Waiting, bbtledger.Dispatching:
+		e.attached[c.seq] = append(e.attached[c.seq], c.id)
+	default:
+		e.conclude(now, c, state)
+	}
+}
+
+// verify checks a call's ticket. An expired ticket is accepted, as its ledger
+// entry tells what became of it.
+func (e *Executor) verify(now time.Time, c *call) (bbtticket.Ticket, *refusal) {
+	t, err := e.issuer.Verify(now, c.ticket, c.account)
+	if err == nil {
+		return t, nil
+	}
+	var r refusal
+	switch faultOf(err) {
+	case bbtticket.Expired:
+		return t, nil
+	case bbtticket.OtherHost, bbtticket.OtherIncarnation:
+		r = notReached(c.first, bbtverdict.ReasonExecutorGone)
+	case bbtticket.ForeignAccount:
+		r = notRun(bbtverdict.ReasonTicketInvalid)
+	default:
+		r = notReached(c.first, bbtverdict.ReasonTicketInvalid)
+	}
+	return t, &r
+}
+
+// conclude ends a call whose ticket was settled before.
+func (e *Executor) conclude(now time.Time, c *call, state bbtledger.State) {
+	if a, ok := e.ledger.Answer(c.seq, c.account); ok {
+		e.answer(c, a)
+		return
+	}
+	switch state {
+	case bbtledger.Void:
+		e.refuse(c, e.renew(now, c, notRun(bbtverdict.ReasonTicketVoid)))
+	case bbtledger.Evicted:
+		e.refuse(c, refusal{verdict: bbtverdict.Ran, reason: bbtverdict.ReasonAnswerEvicted})
+	default:
+		e.refuse(c, e.unknown(c))
+	}
+}
+
+// unknown returns the refusal of a call whose ticket's outcome is not known.
+func (e *Executor) unknown(c *call) refusal {
+	if e.ledger.Holds(c.seq, c.account) {
+		return mayHaveRun(bbtverdict.ReasonEndpointLost)
+	}
+	return notReached(c.first, bbtverdict.ReasonTicketExpired)
+}
+
+// unkeyed adds a fresh ticket without a key to a refusal.
+func (e *Executor) unkeyed(now time.Time, c *call, r refusal) refusal {
+	if e.draining {
+		return notRun(bbtverdict.ReasonDraining)
+	}
+	seq, expiry, ok := e.ledger.Issue(now, c.account)
+	if !ok {
+		return notRun(bbtverdict.ReasonLedgerFull)
+	}
+	r.ticket = e.issuer.Issue(seq, c.account, 0, expiry)
+	return r
+}
+
+// renew adds a fresh ticket to the refusal of a call whose ticket is void, if
+// one may be issued.
+func (e *Executor) renew(now time.Time, c *call, r refusal) refusal {
+	if e.draining {
+		return r
+	}
+	if c.key != 0 {
+		k := bbthome.NewKey(c.account, c.key)
+		newest, known := e.home.Newest(now, k)
+		if !known || newest != c.seq || e.home.Decide(now, k, false).Permission() != bbthome.Allowed {
+			return r
+		}
+	}
+	seq, expiry, ok := e.ledger.Issue(now, c.account)
+	if !ok {
+		return r
+	}
+	if c.key != 0 {
+		e.home.Remember(now, bbthome.NewKey(c.account, c.key), seq)
+	}
+	r.ticket = e.issuer.Issue(seq, c.account, c.key, expiry)
+	return r
+}
--- /dev/null
+++ b/core/bbtsuspect/fingerprint.go
@@ -0,0 +1,23 @@
+// Package bbtsuspect keeps a request that crashes endpoints from taking down
+// more than two of them, though its caller sends it again through other hosts.
+package bbtsuspect
+
+import (
+	"bluebelltray/core/bbtfleet"
+	"github.com/cespare/xxhash/v2"
+)
+
+// Fingerprint identifies equal requests of one client account.
+type Fingerprint uint64
+
+// Of returns the fingerprint of an account's request.
+func Of(account bbtfleet.AccountID, path string, body []byte) Fingerprint {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(account))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(path)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.Write(body)
+	return Fingerprint(d.Sum64())
+}
--- /dev/null
+++ b/core/bbtsuspect/treatment.go
@@ -0,0 +1,26 @@
+package bbtsuspect
+
+// Treatment says how a copy of a request may be dispatched.
+type Treatment uint8
+
+// The treatments. The zero value dispatches nothing.
+const (
+	Hold   Treatment = iota // another copy is in flight: ask again when it ends
+	Free                    // dispatch as any other request
+	Alone                   // dispatch to an endpoint that runs nothing else
+	Banned                  // refuse: it crashes endpoints
+)
+
+// String returns the treatment's name in kebab case.
+func (t Treatment) String() string {
+	switch t {
+	case Free:
+		return "free"
+	case Alone:
+		return "alone"
+	case Banned:
+		return "banned"
+	default:
+		return "hold"
+	}
+}
--- /dev/null
+++ b/core/bbtticket/key.go
@@ -0,0 +1,24 @@
+package bbtticket
+
+import (
+	"bluebelltray/core/bbtfleet"
+	"github.com/cespare/xxhash/v2"
+)
+
+// KeyDigest identifies an idempotency key within its client account. Zero
+// means that the request has no key.
+type KeyDigest uint64
+
+// Digest returns the digest of an account's idempotency key, or zero if the
+// key is empty.
+func Digest(account bbtfleet.AccountID, key string) KeyDigest {
+	if key == "" {
+		return 0
+	}
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(string(account))
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(key)
+	return max(KeyDigest(d.Sum64()), 1)
+}
