--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -33,4 +33,35 @@
 	ReasonEndpointSilent   Reason = "endpoint-silent"
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonPermitExpired    Reason = "permit-expired"
 )
+
+// reasons lists every reason.
+var reasons = [...]Reason{
+	ReasonBadRequest,
+	ReasonUnknownAccount,
+	ReasonUnknownPool,
+	ReasonRequestRate,
+	ReasonTokenRate,
+	ReasonNoRoom,
+	ReasonEvicted,
+	ReasonDeadline,
+	ReasonCancelled,
+	ReasonTicketRequired,
+	ReasonTicketInvalid,
+	ReasonTicketExpired,
+	ReasonLedgerFull,
+	ReasonExecutorGone,
+	ReasonSuspect,
+	ReasonViewStale,
+	ReasonDraining,
+	ReasonEndpointRefused,
+	ReasonEndpointLost,
+	ReasonEndpointSilent,
+	ReasonAnswerIncomplete,
+	ReasonOverloaded,
+	ReasonPermitExpired,
+}
+
+// Reasons returns every reason.
+func Reasons() []Reason { return reasons[:] }
