bbtdaemon: one entry host joins the core's decisions with their surroundings

All state belongs to the goroutine of run; HTTP handlers, peers, reads and dispatches pass it events over one bounded channel. Questions to peers use an exchange each, so that a late answer is never taken for the answer to a later question, on which the freshness of the view rests.

--- /dev/null
+++ b/io/bbtdaemon/action.go
@@ -0,0 +1,114 @@
+package bbtdaemon
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/core/bbtview"
+)
+
+// doEntry carries out what the entry role asks for.
+func (d *Daemon) doEntry(now time.Time, actions []bbtroute.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case bbtroute.Send:
+			d.send(a.To, a.Message)
+		case bbtroute.Dispatch:
+			d.dispatch(now, a)
+		case bbtroute.Refuse:
+			d.refuse(a)
+		}
+	}
+}
+
+// doOwner carries out what the owner role asks for.
+func (d *Daemon) doOwner(_ time.Time, actions []bbtgrant.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case bbtgrant.Grant:
+			d.counters.Add("grants", 1)
+			d.send(a.To, a.Permit)
+		case bbtgrant.Shed:
+			d.counters.Add("sheds", 1)
+			d.send(a.To, a)
+		}
+	}
+}
+
+// send passes a message to a host, which may be this one.
+func (d *Daemon) send(to bbtfleet.HostID, msg bbtgrant.Message) {
+	if to == d.id {
+		d.local = append(d.local, msg)
+		return
+	}
+	d.peers.Send(to, msg)
+}
+
+// deliverLocal delivers the messages that the host sent to itself.
+func (d *Daemon) deliverLocal(now time.Time) {
+	for len(d.local) > 0 {
+		msg := d.local[0]
+		d.local = d.local[1:]
+		d.receive(now, d.id, msg)
+	}
+	d.local = nil
+}
+
+// receive hands a message to the role that it is meant for.
+func (d *Daemon) receive(now time.Time, from bbtfleet.HostID, msg any) {
+	switch m := msg.(type) {
+	case bbtgrant.Registration:
+		d.doOwner(now, d.owner.Register(now, from, m))
+	case bbtgrant.Withdrawal:
+		d.doOwner(now, d.owner.Withdraw(now, from, m.Request))
+	case bbtgrant.Return:
+		d.doOwner(now, d.owner.Return(now, from, m.Permit))
+	case bbtgrant.Done:
+		d.doOwner(now, d.owner.Done(now, from, m))
+	case bbtgrant.Permit:
+		d.doEntry(now, d.entry.Granted(now, from, m))
+	case bbtgrant.Shed:
+		d.doEntry(now, d.entry.Shedded(now, from, m))
+	case bbtview.Digest:
+		d.doView(now, d.keeper.PeerDigest(now, time.Time{}, from, m))
+	case bbtmember.Message:
+		d.doMember(now, d.member.Receive(now, from, m, d.keeper.Digest(now)))
+	default:
+		d.counters.Add("peer-messages-unexpected", 1)
+	}
+}
+
+// dispatch starts a call at an endpoint. A job that has gone, or an endpoint
+// that the view no longer serves, gives the permit back.
+func (d *Daemon) dispatch(now time.Time, a bbtroute.Dispatch) {
+	j := d.jobs[a.Request]
+	ep, ok := d.config.Endpoint(a.Endpoint)
+	if j == nil || !ok || !d.config.Serves(a.Endpoint) {
+		outcome := bbtroute.Outcome{Kind: bbtgrant.Refused}
+		d.doEntry(now, d.entry.Finished(now, a.Request, outcome))
+		return
+	}
+	j.dispatched = true
+	d.counters.Add("dispatches", 1)
+	x := &dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
+	d.done.Go(x.run)
+}
+
+// refuse ends a request. A failed dispatch's own reason says more than the
+// routing's.
+func (d *Daemon) refuse(a bbtroute.Refuse) {
+	j := d.jobs[a.Request]
+	if j == nil {
+		return
+	}
+	delete(d.jobs, a.Request)
+	err := a.Err
+	if j.last != nil && err.Verdict() == bbtverdict.MayHaveRun {
+		err = j.last
+	}
+	j.refuse(err)
+}
--- /dev/null
+++ b/io/bbtdaemon/daemon.go
@@ -0,0 +1,173 @@
+// Package bbtdaemon runs one entry host: it joins the decisions of the core
+// packages with callers, endpoints, peers and the platform.
+package bbtdaemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtowner"
+	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtview"
+	"bluebelltray/io/bbthttp"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// Bounds and periods of a daemon.
+const (
+	eventQueue      = 4096
+	tickPeriod      = 50 * time.Millisecond
+	loadPeriod      = 500 * time.Millisecond
+	loadTimeout     = time.Second
+	addressLifetime = 30 * time.Second
+)
+
+// Daemon is one entry host. All its state belongs to the goroutine of run;
+// other goroutines pass it events.
+type Daemon struct {
+	id       bbtfleet.HostID
+	start    time.Time
+	log      *zap.Logger
+	counters *bbtmetric.Counters
+	platform bluebelltray.Platform
+	peers    *bbtpeer.Node
+	backend  bluebelltray.Backend
+	loads    *bbthttp.LoadReader
+	events   chan event
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	keeper  *bbtview.Keeper
+	member  *bbtmember.Member
+	entry   *bbtroute.Entry
+	owner   *bbtgrant.Owner
+	config  *bbtfleet.Configuration
+	hosts   bbtfleet.HostList
+	places  *bbtowner.Map
+	jobs    map[bbtgrant.RequestID]*job
+	lastID  bbtgrant.RequestID
+	local   []bbtgrant.Message
+	pollers map[bbtfleet.EndpointID]*poller
+	asking  *bbtpeer.Exchange // of the peer's question at hand
+}
+
+// Option sets an optional part of a Daemon.
+type Option func(*Daemon)
+
+// WithLogger sets where changes of state are logged.
+func WithLogger(l *zap.Logger) Option { return func(d *Daemon) { d.log = l } }
+
+// WithCounters sets the metrics that the daemon counts in.
+func WithCounters(c *bbtmetric.Counters) Option { return func(d *Daemon) { d.counters = c } }
+
+// WithBackend sets how calls reach endpoints.
+func WithBackend(b bluebelltray.Backend) Option { return func(d *Daemon) { d.backend = b } }
+
+// New returns a daemon on a host of the availability zone zone. It takes no
+// requests before it has a view. It owns peers; Close ends both.
+func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
+	start := time.Now()
+	incarnation := uint64(start.UnixNano())
+	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
+	ctx, cancel := context.WithCancel(context.Background())
+	var p parser
+	d := &Daemon{
+		id:       id,
+		start:    start,
+		log:      zap.NewNop(),
+		counters: bbtmetric.New(),
+		platform: platform,
+		peers:    peers,
+		backend:  bbthttp.NewBackend(),
+		loads:    bbthttp.NewLoadReader(loadTimeout),
+		events:   make(chan event, eventQueue),
+		ctx:      ctx,
+		cancel:   cancel,
+		keeper:   bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
+		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
+		entry:    bbtroute.New(id, start),
+		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
+		jobs:     make(map[bbtgrant.RequestID]*job),
+		pollers:  make(map[bbtfleet.EndpointID]*poller),
+	}
+	for _, opt := range opts {
+		opt(d)
+	}
+	in := &inbox{daemon: d, node: peers}
+	d.done.Go(in.run)
+	d.done.Go(d.run)
+	return d
+}
+
+// Counters returns the daemon's metrics.
+func (d *Daemon) Counters() *bbtmetric.Counters { return d.counters }
+
+// Close ends the daemon and waits for its goroutines. Requests that still run
+// are cut; see Drain.
+func (d *Daemon) Close() {
+	d.cancel()
+	d.peers.Close()
+	d.done.Wait()
+	d.loads.Close()
+}
+
+// run applies events one after the other.
+func (d *Daemon) run() {
+	ticks := time.NewTicker(tickPeriod)
+	defer ticks.Stop()
+	now := time.Now()
+	d.doView(now, d.keeper.Start(now))
+	for {
+		select {
+		case <-d.ctx.Done():
+			return
+		case ev := <-d.events:
+			ev.apply(d, time.Now())
+		case now := <-ticks.C:
+			d.tick(now)
+		}
+		d.deliverLocal(time.Now())
+	}
+}
+
+// tick does what is due by time alone.
+func (d *Daemon) tick(now time.Time) {
+	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
+	d.doView(now, d.keeper.Tick(now))
+	if d.keeper.Fresh(now) {
+		d.doOwner(now, d.owner.Confirm(now))
+	}
+	d.doEntry(now, d.entry.Tick(now))
+	d.doOwner(now, d.owner.Tick(now))
+}
+
+// post passes an event to run, waiting for room; it reports false once the
+// daemon is closed.
+func (d *Daemon) post(ev event) bool {
+	select {
+	case d.events <- ev:
+		return true
+	case <-d.ctx.Done():
+		return false
+	}
+}
+
+// offer passes an event to run unless the queue is full.
+func (d *Daemon) offer(ev event) bool {
+	select {
+	case d.events <- ev:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/io/bbtdaemon/dispatch.go
@@ -0,0 +1,123 @@
+package bbtdaemon
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtverdict"
+	"github.com/cockroachdb/errors"
+)
+
+// dispatch sends one call to one endpoint under a permit.
+type dispatch struct {
+	daemon   *Daemon
+	job      *job
+	endpoint bbtfleet.Endpoint
+	notAfter time.Time
+}
+
+// run sends the call and hands the head of the answer to the caller.
+func (x *dispatch) run() {
+	ans, err := x.daemon.backend.Do(x.job.ctx, x.endpoint, x.job.req, x.notAfter)
+	if err != nil {
+		x.fail(bbtverdict.As(err, bbtverdict.ReasonEndpointLost))
+		return
+	}
+	tracked := &trackedAnswer{Answer: ans, daemon: x.daemon, id: x.job.id}
+	if !x.job.finish(result{answer: tracked}) {
+		tracked.Close()
+	}
+}
+
+// fail reports a dispatch that brought no answer.
+func (x *dispatch) fail(err *bbtverdict.Error) {
+	kind := bbtgrant.Lost
+	switch {
+	case err.Verdict() == bbtverdict.NotRun:
+		kind = bbtgrant.Refused
+	case errors.Is(x.job.ctx.Err(), context.Canceled):
+		kind = bbtgrant.Cancelled
+		x.job.refuse(err)
+	}
+	x.daemon.post(failed{finished{id: x.job.id, outcome: bbtroute.Outcome{Kind: kind}}, err})
+}
+
+// failed says that a dispatch brought no answer and why.
+type failed struct {
+	finished
+	err *bbtverdict.Error
+}
+
+// apply remembers why the dispatch failed before the routing decides on.
+func (ev failed) apply(d *Daemon, now time.Time) {
+	if j := d.jobs[ev.id]; j != nil {
+		j.last, j.dispatched = ev.err, false
+		d.counters.Add("dispatch-failures", 1)
+	}
+	ev.finished.apply(d, now)
+}
+
+// trackedAnswer reports an answer's progress to the daemon.
+type trackedAnswer struct {
+	bluebelltray.Answer
+	daemon   *Daemon
+	id       bbtgrant.RequestID
+	progress bool
+	ended    bool
+	tokens   int
+}
+
+// Read passes the answer on and reports its first bytes and its end.
+func (a *trackedAnswer) Read(p []byte) (int, error) {
+	n, err := a.Answer.Read(p)
+	if n > 0 && !a.progress {
+		a.progress = true
+		a.daemon.post(firstToken{a.id})
+	}
+	a.tokens += countEvents(p[:n])
+	switch {
+	case err == nil:
+	case errors.Is(err, io.EOF):
+		a.end(bbtgrant.Finished)
+	default:
+		a.end(bbtgrant.Lost)
+	}
+	return n, err
+}
+
+// Close ends the answer; one that has not ended is cancelled.
+func (a *trackedAnswer) Close() error {
+	err := a.Answer.Close()
+	a.end(bbtgrant.Cancelled)
+	return err
+}
+
+// end reports the end of the dispatch once.
+func (a *trackedAnswer) end(kind bbtgrant.Outcome) {
+	if a.ended {
+		return
+	}
+	a.ended = true
+	a.daemon.post(finished{
+		id:      a.id,
+		outcome: bbtroute.Outcome{Kind: kind, Output: a.tokens},
+		started: true,
+	})
+}
+
+// countEvents returns the number of events that end in p, each of which
+// carries one token.
+func countEvents(p []byte) int {
+	n := 0
+	for i := 1; i < len(p); i++ {
+		if p[i] == '\n' && p[i-1] == '\n' {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/io/bbtdaemon/event.go
@@ -0,0 +1,75 @@
+package bbtdaemon
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtroute"
+)
+
+// event is something that happened outside of run.
+type event interface {
+	apply(d *Daemon, now time.Time)
+}
+
+// submitted is a caller's request.
+type submitted struct{ job *job }
+
+// cancelled says that a request's caller has left.
+type cancelled struct{ id bbtgrant.RequestID }
+
+// firstToken says that the first bytes of an answer arrived.
+type firstToken struct{ id bbtgrant.RequestID }
+
+// finished says how a dispatch ended.
+type finished struct {
+	id      bbtgrant.RequestID
+	outcome bbtroute.Outcome
+	started bool // the caller has the head of the answer
+}
+
+// received is a message from a peer.
+type received struct {
+	from bbtfleet.HostID
+	msg  any
+}
+
+// reported is an endpoint's load report.
+type reported struct{ report bbtgrant.LoadReport }
+
+// located asks for the addresses of an account's callers.
+type located struct {
+	account bbtfleet.AccountID
+	reply   chan<- location
+}
+
+// location is the answer to located.
+type location struct {
+	known     bool
+	addresses []string
+}
+
+func (ev submitted) apply(d *Daemon, now time.Time) { d.submit(now, ev.job) }
+
+func (ev cancelled) apply(d *Daemon, now time.Time) { d.cancelJob(now, ev.id) }
+
+func (ev firstToken) apply(d *Daemon, now time.Time) {
+	d.doEntry(now, d.entry.FirstToken(now, ev.id))
+}
+
+func (ev finished) apply(d *Daemon, now time.Time) {
+	d.doEntry(now, d.entry.Finished(now, ev.id, ev.outcome))
+	if ev.started {
+		delete(d.jobs, ev.id)
+		d.doEntry(now, d.entry.Cancel(now, ev.id))
+	}
+}
+
+func (ev received) apply(d *Daemon, now time.Time) { d.receive(now, ev.from, ev.msg) }
+
+func (ev reported) apply(d *Daemon, now time.Time) {
+	d.doOwner(now, d.owner.Load(now, ev.report))
+}
+
+func (ev located) apply(d *Daemon, _ time.Time) { ev.reply <- d.locate(ev.account) }
--- /dev/null
+++ b/io/bbtdaemon/inbox.go
@@ -0,0 +1,49 @@
+package bbtdaemon
+
+import (
+	"bluebelltray/core/bbtview"
+	"bluebelltray/io/bbtpeer"
+)
+
+// inbox passes a node's messages and exchanges to its daemon.
+type inbox struct {
+	daemon *Daemon
+	node   *bbtpeer.Node
+}
+
+// run passes messages on until the daemon is closed.
+func (in *inbox) run() {
+	for {
+		select {
+		case m := <-in.node.Inbox():
+			in.daemon.post(received{m.From(), m.Message()})
+		case ex := <-in.node.Exchanges():
+			x := &opened{daemon: in.daemon, exchange: ex}
+			in.daemon.done.Go(x.run)
+		case <-in.daemon.ctx.Done():
+			return
+		}
+	}
+}
+
+// opened is an exchange that a peer opened.
+type opened struct {
+	daemon   *Daemon
+	exchange *bbtpeer.Exchange
+}
+
+// run waits for the exchange's first message and passes it on.
+func (x *opened) run() {
+	msg, err := x.exchange.Receive()
+	if err != nil {
+		x.exchange.Cancel()
+		return
+	}
+	switch m := msg.(type) {
+	case bbtview.Question:
+		x.daemon.post(peerAsked{x.exchange, m})
+	default:
+		x.daemon.counters.Add("peer-messages-unexpected", 1)
+		x.exchange.Cancel()
+	}
+}
--- /dev/null
+++ b/io/bbtdaemon/job.go
@@ -0,0 +1,30 @@
+package bbtdaemon
+
+import (
+	"context"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+)
+
+// job is one request that a caller waits for.
+type job struct {
+	ctx        context.Context // ends when the caller leaves
+	req        bluebelltray.Request
+	id         bbtgrant.RequestID
+	result     chan result
+	dispatched bool              // a dispatch is under way
+	last       *bbtverdict.Error // how the latest dispatch failed
+}
+
+// result is the head of the answer, or the refusal.
+type result struct {
+	answer bluebelltray.Answer
+	err    *bbtverdict.Error
+}
+
+// newJob returns the job of a request.
+func newJob(ctx context.Context, req bluebelltray.Request) *job {
+	return &job{ctx: ctx, req: req, result: make(chan result, 1)}
+}
--- /dev/null
+++ b/io/bbtdaemon/submit.go
@@ -0,0 +1,135 @@
+package bbtdaemon
+
+import (
+	"context"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtverdict"
+	"github.com/cespare/xxhash/v2"
+)
+
+// prefixBytes is how much of a prompt identifies its prefix.
+const prefixBytes = 1024
+
+// overloadedRetry is when a caller should come again to a host that is short of
+// room.
+const overloadedRetry = time.Second
+
+var _ bluebelltray.Scheduler = (*Daemon)(nil)
+
+// Addresses returns the caller addresses of an account and how long they hold.
+func (d *Daemon) Addresses(account bbtfleet.AccountID) ([]string, time.Duration, error) {
+	reply := make(chan location, 1)
+	if !d.offer(located{account, reply}) {
+		return nil, 0, overloaded()
+	}
+	select {
+	case l := <-reply:
+		if !l.known {
+			return nil, 0, bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount)
+		}
+		return l.addresses, addressLifetime, nil
+	case <-d.ctx.Done():
+		return nil, 0, bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonDraining)
+	}
+}
+
+// Submit schedules a request and waits for the head of its answer.
+func (d *Daemon) Submit(ctx context.Context, r bluebelltray.Request) (bluebelltray.Answer, error) {
+	j := newJob(ctx, r)
+	if !d.offer(submitted{j}) {
+		return nil, overloaded()
+	}
+	select {
+	case res := <-j.result:
+		if res.err != nil {
+			return nil, res.err
+		}
+		return res.answer, nil
+	case <-d.ctx.Done():
+		return nil, bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonDraining)
+	}
+}
+
+// overloaded returns the refusal of a host whose queue of events is full.
+func overloaded() *bbtverdict.Error {
+	return bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonOverloaded,
+		bbtverdict.WithRetryAfter(overloadedRetry))
+}
+
+// submit checks a request against its contract and routes it.
+func (d *Daemon) submit(now time.Time, j *job) {
+	if d.config == nil {
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonViewStale))
+		return
+	}
+	contract, ok := d.config.Contract(j.req.Account())
+	if !ok {
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount))
+		return
+	}
+	d.lastID++
+	j.id = d.lastID
+	d.jobs[j.id] = j
+	context.AfterFunc(j.ctx, func() { d.post(cancelled{j.id}) })
+	d.counters.Add("requests", 1)
+	d.doEntry(now, d.entry.Submit(now, routed(now, j, contract)))
+}
+
+// routed returns the request as the routing decisions see it.
+func routed(now time.Time, j *job, c bbtfleet.Contract) bbtroute.Request {
+	body := j.req.Body()
+	return bbtroute.Request{
+		ID:       j.id,
+		Pool:     j.req.Pool(),
+		Account:  j.req.Account(),
+		Tier:     c.Tier(),
+		Deadline: now.Add(c.Deadline()),
+		Prompt:   j.req.PromptTokens(),
+		Output:   j.req.MaxTokens(),
+		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
+		Repeats:  c.Repeats(j.req.Pool()),
+	}
+}
+
+// cancelJob ends a request whose caller has left. A dispatch that is under way
+// ends by itself, since its context has ended.
+func (d *Daemon) cancelJob(now time.Time, id bbtgrant.RequestID) {
+	j := d.jobs[id]
+	if j == nil {
+		return
+	}
+	delete(d.jobs, id)
+	d.doEntry(now, d.entry.Cancel(now, id))
+	if !j.dispatched {
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
+	}
+}
+
+// refuse ends the job without an answer.
+func (j *job) refuse(err *bbtverdict.Error) { j.finish(result{err: err}) }
+
+// finish hands the result to the caller; only the first one counts.
+func (j *job) finish(r result) bool {
+	select {
+	case j.result <- r:
+		return true
+	default:
+		return false
+	}
+}
+
+// locate returns the addresses of an account's callers.
+func (d *Daemon) locate(account bbtfleet.AccountID) location {
+	if d.config == nil {
+		return location{}
+	}
+	if _, ok := d.config.Contract(account); !ok {
+		return location{}
+	}
+	return location{known: true, addresses: d.places.Addresses(account)}
+}
--- /dev/null
+++ b/io/bbtdaemon/view.go
@@ -0,0 +1,139 @@
+package bbtdaemon
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtowner"
+	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtview"
+	"go.uber.org/zap"
+)
+
+// doView carries out what the Keeper asks for.
+func (d *Daemon) doView(now time.Time, actions []bbtview.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case bbtview.InForce:
+			d.takeConfiguration(now, a.Configuration)
+		case bbtview.HostsInForce:
+			d.takeHosts(now, a.Hosts)
+		case bbtview.Rejected:
+			d.counters.Add("configurations-rejected", 1)
+			d.log.Warn("configuration rejected", zap.Stringer("version", a.Version), zap.Error(a.Err))
+		case bbtview.Serve:
+			d.log.Info("serving")
+		case bbtview.TellPeer:
+			d.peers.Send(a.To, a.Digest)
+		case bbtview.AskPeer:
+			d.ask(now, a)
+		case bbtview.AnswerPeer:
+			d.answerPeer(a)
+		default:
+			d.read(a)
+		}
+	}
+}
+
+// doMember carries out what the Member asks for.
+func (d *Daemon) doMember(now time.Time, actions []bbtmember.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case bbtmember.Send:
+			d.peers.Send(a.To, a.Message)
+		case bbtmember.Changed:
+			d.hostChanged(now, a)
+		case bbtmember.DigestSeen:
+			d.doView(now, d.keeper.PeerDigest(now, a.Asked, a.Host, a.Digest))
+		case bbtmember.Neighbours:
+			d.keeper.SetNeighbours(a.Hosts)
+		case bbtmember.Paused:
+			d.counters.Add("pauses", 1)
+			d.log.Warn("process did not run", zap.Duration("gap", a.Gap))
+			d.doView(now, d.keeper.Paused(now))
+		}
+	}
+}
+
+// hostChanged follows the death or return of a host.
+func (d *Daemon) hostChanged(now time.Time, c bbtmember.Changed) {
+	d.log.Info("host changed", zap.String("peer", string(c.Host)), zap.Stringer("state", c.State))
+	d.counters.Add("host-"+c.State.String(), 1)
+	if c.State == bbtmember.Suspect {
+		d.peers.Reset(c.Host)
+		return
+	}
+	d.place(now)
+	if c.State == bbtmember.Dead {
+		d.doOwner(now, d.owner.Forget(now, c.Host))
+		d.doEntry(now, d.entry.HostLost(now, c.Host))
+	}
+}
+
+// takeConfiguration puts a configuration in force.
+func (d *Daemon) takeConfiguration(now time.Time, cfg *bbtfleet.Configuration) {
+	d.config = cfg
+	d.counters.Set("configuration-revision", int64(cfg.Version().Revision()))
+	d.log.Info("configuration in force", zap.Stringer("version", cfg.Version()))
+	d.rank(now)
+}
+
+// takeHosts puts a host list in force.
+func (d *Daemon) takeHosts(now time.Time, hosts bbtfleet.HostList) {
+	d.hosts = hosts
+	d.peers.SetHosts(hosts.Hosts())
+	d.counters.Set("host-list-revision", int64(hosts.Revision()))
+	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
+	d.doMember(now, d.member.SetHosts(now, hosts))
+	d.rank(now)
+}
+
+// rank computes the placement anew.
+func (d *Daemon) rank(now time.Time) {
+	d.places = bbtowner.NewMap(d.config, d.hosts)
+	d.place(now)
+}
+
+// place gives the roles the endpoints in service and those that this host owns.
+func (d *Daemon) place(now time.Time) {
+	if d.config == nil {
+		return
+	}
+	targets, owned := d.targets()
+	d.poll(owned)
+	d.doEntry(now, d.entry.View(now, targets))
+	d.doOwner(now, d.owner.Own(now, owned))
+	d.counters.Set("endpoints-owned", int64(len(owned)))
+}
+
+// targets returns the endpoints in service with their owners, and those that
+// this host owns.
+func (d *Daemon) targets() ([]bbtroute.Target, []bbtfleet.Endpoint) {
+	var targets []bbtroute.Target
+	var owned []bbtfleet.Endpoint
+	for _, ep := range d.config.Endpoints() {
+		if !d.config.Serves(ep.ID()) {
+			continue
+		}
+		owner, ok := d.ownerOf(ep.ID())
+		if !ok {
+			continue
+		}
+		targets = append(targets, bbtroute.Target{Endpoint: ep, Owner: owner})
+		if owner == d.id {
+			owned = append(owned, ep)
+		}
+	}
+	return targets, owned
+}
+
+// ownerOf returns the first host in the endpoint's ranks that is up.
+func (d *Daemon) ownerOf(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
+	for _, host := range d.places.Ranks(id) {
+		if host == d.id || d.member.State(host) < bbtmember.Leaving {
+			return host, true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/io/bbtdaemon/wire.go
@@ -0,0 +1,28 @@
+package bbtdaemon
+
+import (
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtview"
+	"bluebelltray/io/bbtpeer"
+)
+
+// NewCodec returns the codec of all messages between daemons. The order of the
+// types is part of the protocol: new ones go to the end.
+func NewCodec() (*bbtpeer.Codec, error) {
+	return bbtpeer.NewCodec(
+		bbtgrant.Registration{},
+		bbtgrant.Withdrawal{},
+		bbtgrant.Return{},
+		bbtgrant.Done{},
+		bbtgrant.Permit{},
+		bbtgrant.Shed{},
+		bbtview.Digest{},
+		bbtview.Question{},
+		bbtview.Transfer{},
+		bbtmember.Ping{},
+		bbtmember.Ack{},
+		bbtmember.Relay{},
+		bbtmember.Relayed{},
+	)
+}
--- /dev/null
+++ b/io/bbthttp/load.go
@@ -0,0 +1,73 @@
+package bbthttp
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"github.com/cockroachdb/errors"
+)
+
+// maxLoadBytes bounds the size of a load report.
+const maxLoadBytes = 64 << 10
+
+// Load is what an endpoint reports about itself.
+type Load struct {
+	incarnation bbtfleet.Incarnation
+	running     int
+	waiting     int
+}
+
+// Incarnation returns the endpoint's incarnation.
+func (l Load) Incarnation() bbtfleet.Incarnation { return l.incarnation }
+
+// Running returns how many requests the endpoint runs.
+func (l Load) Running() int { return l.running }
+
+// Waiting returns how many requests wait in the endpoint's own queue.
+func (l Load) Waiting() int { return l.waiting }
+
+// loadRecord is the published form of a load report.
+type loadRecord struct {
+	Incarnation uint64 `json:"incarnation"`
+	Running     int    `json:"running"`
+	Waiting     int    `json:"waiting"`
+}
+
+// LoadReader reads the load reports of endpoints.
+type LoadReader struct {
+	http *http.Client
+}
+
+// NewLoadReader returns a reader whose reads take at most timeout.
+func NewLoadReader(timeout time.Duration) *LoadReader {
+	tr := &http.Transport{MaxIdleConnsPerHost: 1}
+	return &LoadReader{http: &http.Client{Timeout: timeout, Transport: tr}}
+}
+
+// Read returns the endpoint's present report.
+func (r *LoadReader) Read(ctx context.Context, ep bbtfleet.Endpoint) (Load, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ep.Addr()+"/load", nil)
+	if err != nil {
+		return Load{}, err
+	}
+	resp, err := r.http.Do(req)
+	if err != nil {
+		return Load{}, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return Load{}, errors.Newf("load of %s: status %d", ep.ID(), resp.StatusCode)
+	}
+	var rec loadRecord
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&rec); err != nil {
+		return Load{}, errors.Wrapf(err, "load of %s", ep.ID())
+	}
+	return Load{bbtfleet.Incarnation(rec.Incarnation), rec.Running, rec.Waiting}, nil
+}
+
+// Close closes idle connections.
+func (r *LoadReader) Close() { r.http.CloseIdleConnections() }
