--- /dev/null
+++ b/core/bbtlimit/placement.go
@@ -0,0 +1,96 @@
+package bbtlimit
+
+import (
+	"encoding/binary"
+	"math"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// The rates that one home carries. An account with larger ones has more homes.
+const (
+	homeRequests = 25.0   // requests a second
+	homeTokens   = 5000.0 // tokens a second
+)
+
+// homeCount returns how many homes an account has if there are hosts enough.
+func homeCount(c bbtfleet.Contract) int {
+	most := max(c.Requests().PerSecond()/homeRequests, c.Tokens().PerSecond()/homeTokens)
+	return int(min(max(math.Ceil(most), 1), math.MaxInt32))
+}
+
+// candidate is a host that may be a home.
+type candidate struct {
+	id    bbtfleet.HostID
+	hash  uint64
+	score uint64 // for the account last ranked
+}
+
+// placement finds the homes of accounts under one view of the hosts.
+type placement struct {
+	epoch      uint64
+	part       float64 // reachable hosts of the listed ones, 0 to 1
+	candidates []candidate
+}
+
+// newPlacement returns the placement over the listed hosts that can be reached.
+func newPlacement(listed, reachable []bbtfleet.HostID, epoch uint64) placement {
+	p := placement{epoch: epoch}
+	for _, id := range listed {
+		if slices.Contains(reachable, id) {
+			p.candidates = append(p.candidates, candidate{id: id, hash: xxhash.Sum64String(string(id))})
+		}
+	}
+	if len(listed) > 0 {
+		p.part = float64(len(p.candidates)) / float64(len(listed))
+	}
+	return p
+}
+
+// homes returns the n hosts of highest score for the account, in order.
+func (p *placement) homes(id bbtfleet.AccountID, n int) []bbtfleet.HostID {
+	key := xxhash.Sum64String("account/" + string(id))
+	for i := range p.candidates {
+		p.candidates[i].score = score(p.candidates[i].hash, key)
+	}
+	n = min(n, len(p.candidates))
+	out := make([]bbtfleet.HostID, 0, n)
+	if n == 1 {
+		best := slices.MaxFunc(p.candidates, byScore)
+		return append(out, best.id)
+	}
+	ranked := slices.Clone(p.candidates)
+	slices.SortFunc(ranked, func(a, b candidate) int { return byScore(b, a) })
+	for _, c := range ranked[:n] {
+		out = append(out, c.id)
+	}
+	return out
+}
+
+// byScore orders candidates by score and then by name, so that every host
+// finds the same order.
+func byScore(a, b candidate) int {
+	switch {
+	case a.score < b.score:
+		return -1
+	case a.score > b.score:
+		return 1
+	case a.id > b.id:
+		return -1
+	case a.id < b.id:
+		return 1
+	}
+	return 0
+}
+
+// score returns a host's rendezvous score for a key.
+func score(host, key uint64) uint64 {
+	const words, word = 3, 8
+	var buf [words * word]byte
+	binary.LittleEndian.PutUint64(buf[0:], host)
+	binary.LittleEndian.PutUint64(buf[word:], key)
+	return xxhash.Sum64(buf[:])
+}
