--- /dev/null
+++ b/cmd/bluebelltray/send.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/io/bbtcaller"
+	"github.com/cockroachdb/errors"
+)
+
+// sendCmd sends one request as a caller does.
+type sendCmd struct {
+	Address   []string      `required:"" placeholder:"IP:PORT" help:"Caller address of any host; more may be given."`
+	Account   string        `required:"" help:"Client account."`
+	Model     string        `xor:"kind" help:"Model to complete the prompt with."`
+	MaxTokens int           `default:"64" help:"Most tokens of the completion."`
+	Path      string        `xor:"kind" help:"Path of a plain service's call, as /services/POOL/..."`
+	Key       string        `help:"Idempotency key of a call that may not be repeated."`
+	Resend    bool          `help:"State that the call may have been sent before."`
+	Timeout   time.Duration `default:"60s" help:"How long to wait for the whole answer."`
+	Body      string        `arg:"" help:"Prompt, or body of the plain service's call."`
+}
+
+// Run sends the request, again under the ticket if the host encloses one, and
+// prints the answer as it arrives.
+func (c *sendCmd) Run() error {
+	call, err := c.call()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	client := bbtcaller.New(bbtfleet.AccountID(c.Account), c.Address...)
+	resp, err := client.Send(ctx, call)
+	if e := bbtverdict.As(err, ""); err != nil && e.Reason() == bbtverdict.ReasonTicketRequired {
+		call.Ticket = e.Ticket()
+		resp, err = client.Send(ctx, call)
+	}
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(os.Stdout, resp.Body); err != nil {
+		return bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonAnswerIncomplete, bbtverdict.WithCause(err))
+	}
+	return nil
+}
+
+// call returns the call that the flags describe.
+func (c *sendCmd) call() (bbtcaller.Call, error) {
+	call := bbtcaller.Call{Method: http.MethodPost, Key: c.Key, First: !c.Resend}
+	switch {
+	case c.Path != "":
+		call.Path, call.ContentType, call.Body = c.Path, "text/plain", []byte(c.Body)
+	case c.Model != "":
+		body, err := json.Marshal(bbtcaller.Completion{Model: c.Model, Prompt: c.Body, MaxTokens: c.MaxTokens, Stream: true})
+		if err != nil {
+			return call, err
+		}
+		call.Path, call.ContentType, call.Body = "/v1/completions", "application/json", body
+	default:
+		return call, errors.New("either --model or --path is needed")
+	}
+	return call, nil
+}
--- /dev/null
+++ b/cmd/bluebelltray/serve.go
@@ -0,0 +1,28 @@
+package main
+
+import (
+	"os"
+
+	"bluebelltray/io/bbtapp"
+	"bluebelltray/io/bbtsettings"
+)
+
+// serveCmd runs an entry host.
+type serveCmd struct {
+	Settings string `required:"" type:"path" placeholder:"FILE" help:"The host's settings file."`
+}
+
+// Run serves until a signal ends the process.
+func (c *serveCmd) Run() error {
+	s, err := bbtsettings.Load(c.Settings)
+	if err != nil {
+		return err
+	}
+	log := bbtapp.NewLogger(s, os.Stderr)
+	defer log.Sync()
+	app, err := bbtapp.New(s, log)
+	if err != nil {
+		return err
+	}
+	return app.Run()
+}
--- /dev/null
+++ b/cmd/bluebelltray/status.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"bluebelltray/io/bbtdaemon"
+	"github.com/cockroachdb/errors"
+)
+
+// statusTimeout bounds the reads of a host's pages.
+const statusTimeout = 5 * time.Second
+
+// statusCmd shows a running host.
+type statusCmd struct {
+	Address  string `arg:"" help:"The host's caller address, as IP:port."`
+	Counters bool   `help:"Show the counters too."`
+}
+
+// Run reads the host's pages and prints them.
+func (c *statusCmd) Run() error {
+	var s bbtdaemon.Status
+	if err := readPage(c.Address, "/status", &s); err != nil {
+		return err
+	}
+	printStatus(os.Stdout, s)
+	if !c.Counters {
+		return nil
+	}
+	var vars map[string]any
+	if err := readPage(c.Address, "/debug/vars", &vars); err != nil {
+		return err
+	}
+	enc := json.NewEncoder(os.Stdout)
+	enc.SetIndent("", "  ")
+	return enc.Encode(vars)
+}
+
+// printStatus prints the status as a table.
+func printStatus(w io.Writer, s bbtdaemon.Status) {
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	defer tw.Flush()
+	fmt.Fprintf(tw, "host\t%s\n", s.Host)
+	fmt.Fprintf(tw, "serving\t%t\n", s.Serving)
+	fmt.Fprintf(tw, "view fresh\t%t\n", s.Fresh)
+	fmt.Fprintf(tw, "leaving\t%t\n", s.Leaving)
+	fmt.Fprintf(tw, "configuration\t%s\n", s.Configuration)
+	if s.Refused != "" {
+		fmt.Fprintf(tw, "refused configuration\t%s\n", s.Refused)
+	}
+	fmt.Fprintf(tw, "host list\t%d\n", s.HostList)
+	fmt.Fprintf(tw, "requests\t%d\n", s.Requests)
+	for _, id := range s.Owned {
+		fmt.Fprintf(tw, "owns\t%s\n", id)
+	}
+	for _, p := range s.Peers {
+		fmt.Fprintf(tw, "peer\t%s\t%s\t%s\n", p.Host, p.Zone, p.State)
+	}
+}
+
+// readPage decodes one JSON page of a host.
+func readPage(addr, path string, v any) error {
+	c := http.Client{Timeout: statusTimeout}
+	resp, err := c.Get("http://" + addr + path)
+	if err != nil {
+		return errors.Wrapf(err, "read %s", path)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("read %s: status %d", path, resp.StatusCode)
+	}
+	return errors.Wrapf(json.NewDecoder(resp.Body).Decode(v), "decode %s", path)
+}
--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -34,6 +34,7 @@
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonPermitExpired    Reason = "permit-expired"
+	ReasonHostUnreachable  Reason = "host-unreachable"
 )
 
 // reasons lists every reason.
@@ -61,6 +62,7 @@
 	ReasonAnswerIncomplete,
 	ReasonOverloaded,
 	ReasonPermitExpired,
+	ReasonHostUnreachable,
 }
 
 // Reasons returns every reason.
--- a/core/bbtverdict/verdict.go
+++ b/core/bbtverdict/verdict.go
@@ -23,3 +23,14 @@
 		return "may-have-run"
 	}
 }
+
+// Parse returns the verdict of a name that String returned. Any other text is
+// the cautious verdict.
+func Parse(name string) Verdict {
+	for _, v := range [...]Verdict{NotRun, Ran} {
+		if v.String() == name {
+			return v
+		}
+	}
+	return MayHaveRun
+}
--- /dev/null
+++ b/internal/bbtdemo/fleet.go
@@ -0,0 +1,242 @@
+// Package bbtdemo runs a small fleet in one process on loopback: platform,
+// endpoints, entry hosts and callers.
+package bbtdemo
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"bluebelltray/core/bbtconfig"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/internal/bbtstandin"
+	"bluebelltray/io/bbtapp"
+	"bluebelltray/io/bbtkey"
+	"bluebelltray/io/bbtpeer"
+	"bluebelltray/io/bbtsettings"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+// The demo's fleet.
+const (
+	hostCount       = 4
+	enginesPerSpeed = 2
+	fastToken       = 2 * time.Millisecond
+	slowToken       = 4 * time.Millisecond
+	engineSlots     = 4
+	serviceDelay    = 5 * time.Millisecond
+	authorityLife   = time.Hour
+	addressLifetime = 2 * time.Second
+	drainTime       = 5 * time.Second
+	loopback        = "127.0.0.1:0"
+
+	poolModel   bbtfleet.PoolID = "summary"
+	poolService bbtfleet.PoolID = "dispatch"
+)
+
+// zones are the demo's availability zones.
+var zones = [...]bbtfleet.ZoneID{"zone-a", "zone-b"}
+
+// Fleet is a running demo fleet.
+type Fleet struct {
+	log       *zap.Logger
+	platform  *bbtstandin.Platform
+	endpoints []bbtfleet.Endpoint
+	hosts     []bbtstandin.HostRecord
+	apps      []*bbtapp.App
+	servers   []*http.Server
+	done      sync.WaitGroup
+}
+
+// Start starts the fleet and publishes its configuration.
+func Start(log *zap.Logger) (*Fleet, error) {
+	f := &Fleet{log: log, platform: bbtstandin.NewPlatform()}
+	addr, err := f.serve(f.platform)
+	if err != nil {
+		return nil, err
+	}
+	if err := f.startEndpoints(); err != nil {
+		return nil, err
+	}
+	if err := f.startHosts(addr); err != nil {
+		return nil, err
+	}
+	f.platform.PutHosts(f.hosts)
+	f.publish()
+	return f, nil
+}
+
+// serve answers requests on a free port until Stop and returns its address.
+func (f *Fleet) serve(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return "", errors.Wrap(err, "listen")
+	}
+	s := &server{http: &http.Server{Handler: h}, listener: l}
+	f.servers = append(f.servers, s.http)
+	f.done.Go(s.run)
+	return l.Addr().String(), nil
+}
+
+// server serves one stand-in.
+type server struct {
+	http     *http.Server
+	listener net.Listener
+}
+
+// run serves until the server is closed.
+func (s *server) run() { _ = s.http.Serve(s.listener) }
+
+// startEndpoints starts engines of two speeds in every zone and one plain
+// service.
+func (f *Fleet) startEndpoints() error {
+	for i, token := range [...]time.Duration{fastToken, slowToken} {
+		speed := bbtstandin.DefaultEngineSpeed()
+		speed.Slots, speed.BetweenTokens = engineSlots, token
+		for n := range enginesPerSpeed {
+			id := bbtfleet.EndpointID(fmt.Sprintf("engine-%d-%d", i, n))
+			err := f.endpoint(id, n, bbtfleet.ModelEngine, poolModel, bbtstandin.NewEngine(speed, true))
+			if err != nil {
+				return err
+			}
+		}
+	}
+	return f.endpoint("service-0", 0, bbtfleet.PlainService, poolService, bbtstandin.NewService(serviceDelay))
+}
+
+// endpoint starts one endpoint in the n-th zone.
+func (f *Fleet) endpoint(id bbtfleet.EndpointID, n int, kind bbtfleet.Kind, pool bbtfleet.PoolID, h http.Handler) error {
+	addr, err := f.serve(h)
+	if err != nil {
+		return err
+	}
+	f.endpoints = append(f.endpoints, bbtfleet.NewEndpoint(id, zones[n%len(zones)], kind, pool,
+		bbtfleet.WithAddr(addr), bbtfleet.WithSlots(engineSlots), bbtfleet.WithFencing(true)))
+	return nil
+}
+
+// startHosts starts the entry hosts, all under one new authority.
+func (f *Fleet) startHosts(platform string) error {
+	authority, err := bbtkey.NewAuthority(authorityLife)
+	if err != nil {
+		return err
+	}
+	for i := range hostCount {
+		id := bbtfleet.HostID(fmt.Sprintf("host-%d", i))
+		cert, err := authority.Issue(id)
+		if err != nil {
+			return err
+		}
+		identity := bbtpeer.NewIdentity(cert, authority.Pool())
+		if err := f.startHost(id, zones[i%len(zones)], platform, identity); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// startHost starts one entry host on free ports.
+func (f *Fleet) startHost(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform string, identity bbtpeer.Identity) error {
+	l, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "listen for callers")
+	}
+	packets, err := net.ListenPacket("udp", loopback)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	s := bbtsettings.New(id, zone,
+		bbtsettings.WithPlatformAddr(platform),
+		bbtsettings.WithAddressLifetime(addressLifetime),
+		bbtsettings.WithDrainTime(drainTime))
+	app, err := bbtapp.Assemble(s, f.log.With(zap.String("host", string(id))), identity, l, packets)
+	if err != nil {
+		return err
+	}
+	f.apps = append(f.apps, app)
+	f.hosts = append(f.hosts, bbtstandin.HostRecord{
+		ID:            string(id),
+		Zone:          string(zone),
+		PeerAddress:   packets.LocalAddr().String(),
+		CallerAddress: l.Addr().String(),
+		State:         "live",
+	})
+	r := &runner{app: app, log: f.log}
+	f.done.Go(r.run)
+	return nil
+}
+
+// runner runs one entry host.
+type runner struct {
+	app *bbtapp.App
+	log *zap.Logger
+}
+
+// run serves until the app is stopped.
+func (r *runner) run() {
+	if err := r.app.Run(); err != nil {
+		r.log.Error("host ended", zap.Error(err))
+	}
+}
+
+// publish puts the demo's configuration into the configuration service.
+func (f *Fleet) publish() {
+	var contracts []bbtfleet.Contract
+	for _, a := range accounts {
+		contracts = append(contracts, a.contract())
+	}
+	var published []bbtfleet.Zone
+	for _, z := range zones {
+		published = append(published, bbtfleet.NewZone(z, "demo", false))
+	}
+	manifest, parts := bbtconfig.Publish(1, bbtfleet.NewConfiguration(bbtfleet.Version{},
+		bbtfleet.WithZones(published...),
+		bbtfleet.WithEndpoints(f.endpoints...),
+		bbtfleet.WithContracts(contracts...)))
+	for _, p := range parts {
+		f.platform.Put(p.Key(), p.Data())
+	}
+	f.platform.Put(bbtconfig.ManifestKey, manifest)
+}
+
+// Seeds returns the caller addresses of all hosts.
+func (f *Fleet) Seeds() []string {
+	var seeds []string
+	for _, h := range f.hosts {
+		seeds = append(seeds, h.CallerAddress)
+	}
+	return seeds
+}
+
+// Ready waits until every host serves or ctx ends.
+func (f *Fleet) Ready(ctx context.Context) error {
+	ticks := time.NewTicker(50 * time.Millisecond)
+	defer ticks.Stop()
+	for _, app := range f.apps {
+		for !app.Daemon().Status().Serving {
+			select {
+			case <-ticks.C:
+			case <-ctx.Done():
+				return errors.Wrap(ctx.Err(), "hosts do not serve")
+			}
+		}
+	}
+	return nil
+}
+
+// Stop drains the hosts, all at once, and then ends the rest.
+func (f *Fleet) Stop() {
+	for _, app := range f.apps {
+		if err := app.Stop(); err != nil {
+			f.log.Error("stop", zap.Error(err))
+		}
+	}
+	for _, s := range f.servers {
+		s.Close()
+	}
+	f.done.Wait()
+}
--- /dev/null
+++ b/internal/bbtdemo/table.go
@@ -0,0 +1,90 @@
+package bbtdemo
+
+import (
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+)
+
+// row counts the requests of one tier.
+type row struct {
+	sent    int
+	good    int
+	late    int
+	refused int
+}
+
+// Table counts goodput by tier.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[bbtfleet.Tier]*row
+	reasons map[bbtverdict.Reason]int
+}
+
+// NewTable returns a table of all tiers at zero.
+func NewTable() *Table {
+	t := &Table{
+		rows:    make(map[bbtfleet.Tier]*row),
+		reasons: make(map[bbtverdict.Reason]int),
+	}
+	for _, a := range accounts {
+		t.rows[a.tier] = new(row)
+	}
+	return t
+}
+
+// count counts one request: answered in time, answered late, or refused.
+func (t *Table) count(tier bbtfleet.Tier, err error, inTime bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.rows[tier]
+	r.sent++
+	switch {
+	case err != nil:
+		r.refused++
+		t.reasons[bbtverdict.As(err, bbtverdict.ReasonAnswerIncomplete).Reason()]++
+	case inTime:
+		r.good++
+	default:
+		r.late++
+	}
+}
+
+// Good returns the requests of a tier that were answered in time.
+func (t *Table) Good(tier bbtfleet.Tier) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[tier].good
+}
+
+// Print prints the table.
+func (t *Table) Print(w io.Writer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	tw := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	defer tw.Flush()
+	fmt.Fprintln(tw, "tier\taccount\tsent\tin time\tlate\trefused\tgoodput\t")
+	for _, a := range accounts {
+		r := t.rows[a.tier]
+		share := 0.0
+		if r.sent > 0 {
+			share = float64(r.good) / float64(r.sent)
+		}
+		fmt.Fprintf(tw, "%d\t%s\t%d\t%d\t%d\t%d\t%.3f\t\n", a.tier, a.id, r.sent, r.good, r.late, r.refused, share)
+	}
+}
+
+// PrintReasons prints how often each reason of a refusal occurred.
+func (t *Table) PrintReasons(w io.Writer) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, r := range slices.Sorted(maps.Keys(t.reasons)) {
+		fmt.Fprintf(w, "%s\t%d\n", r, t.reasons[r])
+	}
+}
--- /dev/null
+++ b/io/bbtcaller/completion.go
@@ -0,0 +1,9 @@
+package bbtcaller
+
+// Completion is the body of a model call in the common completions form.
+type Completion struct {
+	Model     string `json:"model"`
+	Prompt    string `json:"prompt"`
+	MaxTokens int    `json:"max_tokens"`
+	Stream    bool   `json:"stream"`
+}
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -28,7 +28,7 @@
 	tickPeriod      = 50 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
 	loadTimeout     = time.Second
-	addressLifetime = 30 * time.Second
+	defaultLifetime = 30 * time.Second
 )
 
 // Daemon is one entry host. All its state belongs to the goroutine of run;
@@ -42,6 +42,7 @@
 	peers    *bbtpeer.Node
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
+	lifetime time.Duration // of an address answer
 	events   chan event
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -53,7 +54,9 @@
 	owner   *bbtgrant.Owner
 	config  *bbtfleet.Configuration
 	hosts   bbtfleet.HostList
-	places  *bbtowner.Map
+	places  *bbtowner.Map // over all hosts of the list
+	callers *bbtowner.Map // over the hosts that callers may be sent to
+	leaving bool
 	jobs    map[bbtgrant.RequestID]*job
 	lastID  bbtgrant.RequestID
 	local   []bbtgrant.Message
@@ -73,6 +76,9 @@
 // WithBackend sets how calls reach endpoints.
 func WithBackend(b bluebelltray.Backend) Option { return func(d *Daemon) { d.backend = b } }
 
+// WithAddressLifetime sets how long callers may keep an address answer.
+func WithAddressLifetime(t time.Duration) Option { return func(d *Daemon) { d.lifetime = t } }
+
 // New returns a daemon on a host of the availability zone zone. It takes no
 // requests before it has a view. It owns peers; Close ends both.
 func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
@@ -90,6 +96,7 @@
 		peers:    peers,
 		backend:  bbthttp.NewBackend(),
 		loads:    bbthttp.NewLoadReader(loadTimeout),
+		lifetime: defaultLifetime,
 		events:   make(chan event, eventQueue),
 		ctx:      ctx,
 		cancel:   cancel,
--- /dev/null
+++ b/io/bbtdaemon/drain.go
@@ -0,0 +1,93 @@
+package bbtdaemon
+
+import (
+	"context"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtowner"
+)
+
+// drainPoll is how often a draining daemon looks whether requests remain.
+const drainPoll = 50 * time.Millisecond
+
+// Drain makes the host leave: callers are no longer sent to it, its endpoints
+// pass to other hosts, and requests that still come are served for as long as
+// callers may keep its address. It returns when no request is left after that
+// or when ctx ends, and reports whether none was left.
+func (d *Daemon) Drain(ctx context.Context) bool {
+	d.post(leaving{})
+	ticks := time.NewTicker(drainPoll)
+	defer ticks.Stop()
+	lifetime := time.NewTimer(d.lifetime)
+	defer lifetime.Stop()
+	expired := false
+	for {
+		select {
+		case <-ctx.Done():
+			return d.idle()
+		case <-lifetime.C:
+			expired = true
+		case <-ticks.C:
+			if expired && d.idle() {
+				return true
+			}
+		}
+	}
+}
+
+// leaving says that the host starts to drain.
+type leaving struct{}
+
+func (leaving) apply(d *Daemon, now time.Time) {
+	if d.leaving {
+		return
+	}
+	d.leaving = true
+	d.log.Info("draining")
+	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
+	d.rank(now)
+}
+
+// counted asks how many requests the daemon holds.
+type counted struct{ reply chan<- int }
+
+func (ev counted) apply(d *Daemon, _ time.Time) { ev.reply <- len(d.jobs) }
+
+// idle reports whether the daemon holds no request.
+func (d *Daemon) idle() bool {
+	reply := make(chan int, 1)
+	if !d.post(counted{reply}) {
+		return true
+	}
+	select {
+	case n := <-reply:
+		return n == 0
+	case <-d.ctx.Done():
+		return true
+	}
+}
+
+// reachable returns the placement over the hosts that callers may be sent to:
+// neither leaving nor dead. It falls back to all hosts where none is left.
+func (d *Daemon) reachable() *bbtowner.Map {
+	up := make([]bbtfleet.Host, 0, len(d.hosts.Hosts()))
+	for _, h := range d.hosts.Hosts() {
+		if d.up(h.ID()) {
+			up = append(up, h)
+		}
+	}
+	if len(up) == 0 {
+		return d.places
+	}
+	return bbtowner.NewMap(d.config, bbtfleet.NewHostList(d.hosts.Revision(), up))
+}
+
+// up reports whether the host takes new work.
+func (d *Daemon) up(id bbtfleet.HostID) bool {
+	if id == d.id {
+		return !d.leaving
+	}
+	return d.member.State(id) < bbtmember.Leaving
+}
--- /dev/null
+++ b/io/bbtdaemon/status.go
@@ -0,0 +1,115 @@
+package bbtdaemon
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// Status is what a host shows its operators.
+type Status struct {
+	Host          bbtfleet.HostID       `json:"host"`
+	Configuration string                `json:"configuration"`
+	HostList      bbtfleet.Revision     `json:"host-list"`
+	Serving       bool                  `json:"serving"`
+	Fresh         bool                  `json:"view-fresh"`
+	Leaving       bool                  `json:"leaving"`
+	Refused       string                `json:"refused-configuration,omitempty"`
+	Requests      int                   `json:"requests"`
+	Owned         []bbtfleet.EndpointID `json:"endpoints-owned"`
+	Peers         []PeerStatus          `json:"peers"`
+}
+
+// PeerStatus is what a host believes of another one.
+type PeerStatus struct {
+	Host  bbtfleet.HostID `json:"host"`
+	Zone  bbtfleet.ZoneID `json:"zone"`
+	State string          `json:"state"`
+}
+
+// inspected asks for the status.
+type inspected struct{ reply chan<- Status }
+
+func (ev inspected) apply(d *Daemon, now time.Time) { ev.reply <- d.status(now) }
+
+// Status returns the host's present status; it is empty once the daemon is
+// closed.
+func (d *Daemon) Status() Status {
+	reply := make(chan Status, 1)
+	if !d.post(inspected{reply}) {
+		return Status{}
+	}
+	select {
+	case s := <-reply:
+		return s
+	case <-d.ctx.Done():
+		return Status{}
+	}
+}
+
+// status collects the status.
+func (d *Daemon) status(now time.Time) Status {
+	s := Status{
+		Host:          d.id,
+		Configuration: d.keeper.Version().String(),
+		HostList:      d.hosts.Revision(),
+		Serving:       d.keeper.Serving(),
+		Fresh:         d.keeper.Fresh(now),
+		Leaving:       d.leaving,
+		Requests:      len(d.jobs),
+	}
+	if v, err := d.keeper.Refused(); err != nil {
+		s.Refused = v.String() + ": " + err.Error()
+	}
+	for _, h := range d.hosts.Hosts() {
+		if h.ID() != d.id {
+			s.Peers = append(s.Peers, PeerStatus{h.ID(), h.Zone(), d.member.State(h.ID()).String()})
+		}
+	}
+	if d.config != nil {
+		s.Owned = d.owned()
+	}
+	return s
+}
+
+// owned returns the names of the endpoints that this host owns.
+func (d *Daemon) owned() []bbtfleet.EndpointID {
+	_, endpoints := d.targets()
+	ids := make([]bbtfleet.EndpointID, 0, len(endpoints))
+	for _, ep := range endpoints {
+		ids = append(ids, ep.ID())
+	}
+	return ids
+}
+
+// StatusPage answers with the status as JSON.
+func (d *Daemon) StatusPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(d.Status()) // a reader that has gone needs no answer
+	})
+}
+
+// ReadyPage answers 200 while the host takes new callers and 503 otherwise.
+func (d *Daemon) ReadyPage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if s := d.Status(); !s.Serving || s.Leaving {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("ready\n")) // a reader that has gone needs no answer
+	})
+}
+
+// LivePage answers 200 as long as the daemon's goroutine takes events.
+func (d *Daemon) LivePage() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if d.Status().Host == "" {
+			http.Error(w, "not live", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte("live\n")) // a reader that has gone needs no answer
+	})
+}
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -32,7 +32,7 @@
 		if !l.known {
 			return nil, 0, bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount)
 		}
-		return l.addresses, addressLifetime, nil
+		return l.addresses, d.lifetime, nil
 	case <-d.ctx.Done():
 		return nil, 0, bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonDraining)
 	}
@@ -131,5 +131,5 @@
 	if _, ok := d.config.Contract(account); !ok {
 		return location{}
 	}
-	return location{known: true, addresses: d.places.Addresses(account)}
+	return location{known: true, addresses: d.callers.Addresses(account)}
 }
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -100,6 +100,7 @@
 	if d.config == nil {
 		return
 	}
+	d.callers = d.reachable()
 	targets, owned := d.targets()
 	d.poll(owned)
 	d.doEntry(now, d.entry.View(now, targets))
@@ -131,7 +132,7 @@
 // ownerOf returns the first host in the endpoint's ranks that is up.
 func (d *Daemon) ownerOf(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
 	for _, host := range d.places.Ranks(id) {
-		if host == d.id || d.member.State(host) < bbtmember.Leaving {
+		if d.up(host) {
 			return host, true
 		}
 	}
--- a/io/bbthttp/limits.go
+++ b/io/bbthttp/limits.go
@@ -24,6 +24,11 @@
 // WithMaxConcurrent sets how many requests the host holds at once.
 func WithMaxConcurrent(n int) LimitOption { return func(l *Limits) { l.concurrent = n } }
 
+// WithHeaderTimeout sets how long a caller may take to send a header.
+func WithHeaderTimeout(d time.Duration) LimitOption {
+	return func(l *Limits) { l.headerTimeout = d }
+}
+
 // WithBodyTimeout sets how long a caller may take to send its body.
 func WithBodyTimeout(d time.Duration) LimitOption { return func(l *Limits) { l.bodyTimeout = d } }
 
