--- a/core/bbtconfig/config.go
+++ b/core/bbtconfig/config.go
@@ -33,13 +33,24 @@
 	return b.finish(m.version)
 }
 
-// Check reads parts without a manifest and returns the configuration they form
-// under the zero version. Items that other parts would define are not missed:
-// a contract may name any pool, if no part holds an endpoint, and an endpoint
-// any zone, if no part holds a zone. The error is a *bbtini.Error with all
+// Check reads all parts of a configuration without a manifest and returns the
+// configuration under the zero version. The error is a *bbtini.Error with all
 // problems.
 func Check(parts ...Part) (*bbtfleet.Configuration, error) {
+	var b builder
+	return b.check(parts)
+}
+
+// CheckSome reads some parts of a configuration, as Check does, and misses no
+// item that another part would define: a contract may name any pool if no part
+// holds an endpoint, and an endpoint any zone if no part holds a zone.
+func CheckSome(parts ...Part) (*bbtfleet.Configuration, error) {
 	b := builder{partial: true}
+	return b.check(parts)
+}
+
+// check reads parts and returns the configuration under the zero version.
+func (b *builder) check(parts []Part) (*bbtfleet.Configuration, error) {
 	for _, p := range parts {
 		b.read(p)
 	}
--- a/core/bbtconfig/manifest.go
+++ b/core/bbtconfig/manifest.go
@@ -38,17 +38,20 @@
 
 // ParseManifest reads a manifest. The error is a *bbtini.Error with all
 // problems.
-func ParseManifest(data []byte) (Manifest, error) {
+func ParseManifest(data []byte) (Manifest, error) { return CheckManifest(ManifestKey, data) }
+
+// CheckManifest reads a manifest out of a file of the given name.
+func CheckManifest(file string, data []byte) (Manifest, error) {
 	var r bbtini.Report
 	p := manifestParser{seen: make(map[string]int)}
-	for s := range bbtini.Sections(ManifestKey, data, &r) {
+	for s := range bbtini.Sections(file, data, &r) {
 		p.section(s)
 	}
 	if p.line == 0 {
-		r.Add(bbtini.NewProblem(ManifestKey, 0, "has no revision", bbtini.WithWant("a section [manifest] with the key revision")))
+		r.Add(bbtini.NewProblem(file, 0, "has no revision", bbtini.WithWant("a section [manifest] with the key revision")))
 	}
 	if len(p.parts) == 0 {
-		r.Add(bbtini.NewProblem(ManifestKey, 0, "names no part", bbtini.WithWant("a section [part KEY] for each part")))
+		r.Add(bbtini.NewProblem(file, 0, "names no part", bbtini.WithWant("a section [part KEY] for each part")))
 	}
 	if err := r.Err(); err != nil {
 		return Manifest{}, err
