core/bbtconfig: hold less for 19,000 contracts

go test ./core/bbtconfig -run xxx -bench . -benchtime 20x, 19,000 contracts in 34 parts of 3.5 MB together. A map a contract for its repeatable pools was the largest part, and every use of a pool was kept for the cross checks.

A third of the allocations are the library's read buffers, one a section; joining sections would save them but lose the line numbers.

--- /dev/null
+++ b/core/bbtconfig/bench_test.go
@@ -0,0 +1,73 @@
+package bbtconfig_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtconfig"
+	"bluebelltray/core/bbtfleet"
+)
+
+// targetAccounts is the number of client accounts that the design is made for.
+const targetAccounts = 19_000
+
+// targetFleet returns a configuration with n contracts.
+func targetFleet(n int) *bbtfleet.Configuration {
+	zones := []bbtfleet.Zone{bbtfleet.NewZone("zone-1", "north", false)}
+	endpoints := []bbtfleet.Endpoint{
+		bbtfleet.NewEndpoint("tracking-1", "zone-1", bbtfleet.PlainService, "tracking", bbtfleet.WithAddr("10.0.0.1:80")),
+		bbtfleet.NewEndpoint("labels-1", "zone-1", bbtfleet.PlainService, "labels", bbtfleet.WithAddr("10.0.0.2:80")),
+	}
+	contracts := make([]bbtfleet.Contract, n)
+	for i := range contracts {
+		contracts[i] = bbtfleet.NewContract(bbtfleet.AccountID(fmt.Sprintf("account-%05d", i)), bbtfleet.Tier(1+i%4),
+			bbtfleet.WithRequests(bbtfleet.NewRate(0.5, 4)),
+			bbtfleet.WithTokens(bbtfleet.NewRate(100, 2000)),
+			bbtfleet.WithDeadline(30*time.Second),
+			bbtfleet.WithRepeatable("tracking", 2),
+			bbtfleet.WithRepeatable("labels", 1))
+	}
+	return bbtfleet.NewConfiguration(bbtfleet.Version{}, bbtfleet.WithZones(zones...),
+		bbtfleet.WithEndpoints(endpoints...), bbtfleet.WithContracts(contracts...))
+}
+
+// BenchmarkParse reads a whole configuration. Besides time and allocations it
+// reports the parts, their bytes, and the heap that the result holds.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{5, 1_000, targetAccounts} {
+		b.Run(fmt.Sprintf("contracts=%d", n), func(b *testing.B) {
+			manifest, parts := bbtconfig.Publish(1, targetFleet(n))
+			m, err := bbtconfig.ParseManifest(manifest)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size := len(manifest)
+			for _, p := range parts {
+				size += len(p.Data())
+			}
+			before := heap()
+			var cfg *bbtfleet.Configuration
+			b.ReportAllocs()
+			for b.Loop() {
+				if cfg, err = bbtconfig.Parse(m, parts); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(heap()-before), "held-B")
+			b.ReportMetric(float64(len(parts)), "parts")
+			b.ReportMetric(float64(size), "text-B")
+			runtime.KeepAlive(cfg)
+			runtime.KeepAlive(parts)
+		})
+	}
+}
+
+// heap returns the live heap in bytes.
+func heap() int64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return int64(s.HeapAlloc)
+}
--- a/core/bbtconfig/builder.go
+++ b/core/bbtconfig/builder.go
@@ -23,7 +23,7 @@
 	endpoints []bbtfleet.Endpoint
 	contracts []bbtfleet.Contract
 	seen      seen
-	uses      []use
+	uses      []use // of items not known when they were read
 }
 
 // section reads one section.
@@ -61,6 +61,14 @@
 		bbtfleet.WithContracts(b.contracts...)), nil
 }
 
+// use notes that a key names an item. An item that is known already needs no
+// check later.
+func (b *builder) use(s *bbtini.Section, key, of, name string) {
+	if !b.seen.names(of)[name] {
+		b.uses = append(b.uses, newUse(s, key, of, name))
+	}
+}
+
 // resolve reports a use of a name that no section defines.
 func (b *builder) resolve(u use) {
 	names := b.seen.names(u.of)
--- a/core/bbtconfig/sections.go
+++ b/core/bbtconfig/sections.go
@@ -19,7 +19,7 @@
 func (b *builder) endpoint(s *bbtini.Section) {
 	zone, ok := bbtini.Require(s, "zone", bbtini.ParseName)
 	if ok {
-		b.uses = append(b.uses, newUse(s, "zone", zoneKind, zone))
+		b.use(s, "zone", zoneKind, zone)
 	}
 	kind, _ := bbtini.Require(s, "kind", parseKind)
 	pool, ok := bbtini.Require(s, "pool", bbtini.ParseName)
@@ -64,7 +64,7 @@
 	}
 	repeats, _ := bbtini.Optional(s, "repeatable", nil, parseRepeats)
 	for _, r := range repeats {
-		b.uses = append(b.uses, newUse(s, "repeatable", poolKind, string(r.pool)))
+		b.use(s, "repeatable", poolKind, string(r.pool))
 		opts = append(opts, bbtfleet.WithRepeatable(r.pool, r.count))
 	}
 	b.contracts = append(b.contracts, bbtfleet.NewContract(bbtfleet.AccountID(strings.Clone(s.Name())), tier, opts...))
--- a/core/bbtfleet/contract.go
+++ b/core/bbtfleet/contract.go
@@ -1,6 +1,10 @@
 package bbtfleet
 
-import "time"
+import (
+	"slices"
+	"strings"
+	"time"
+)
 
 // Contract is what a client account may send, how it ranks, and what the
 // system may repeat for it.
@@ -10,9 +14,18 @@
 	requests   Rate
 	tokens     Rate
 	deadline   time.Duration
-	repeatable map[PoolID]int
+	repeatable []repeat // in order of pools, each once
 }
 
+// repeat says how often the calls of a pool may be repeated.
+type repeat struct {
+	pool  PoolID
+	times int
+}
+
+// byPool compares the repeat's pool with p.
+func byPool(r repeat, p PoolID) int { return strings.Compare(string(r.pool), string(p)) }
+
 // ContractOption sets an optional part of a Contract.
 type ContractOption func(*Contract)
 
@@ -29,10 +42,12 @@
 // the first dispatch.
 func WithRepeatable(p PoolID, n int) ContractOption {
 	return func(c *Contract) {
-		if c.repeatable == nil {
-			c.repeatable = make(map[PoolID]int)
+		i, found := slices.BinarySearchFunc(c.repeatable, p, byPool)
+		if found {
+			c.repeatable[i].times = n
+			return
 		}
-		c.repeatable[p] = n
+		c.repeatable = slices.Insert(c.repeatable, i, repeat{pool: p, times: n})
 	}
 }
 
@@ -62,4 +77,20 @@
 
 // Repeats returns how often a call to the pool may be repeated; zero means the
 // call is not idempotent and needs a ticket.
-func (c Contract) Repeats(p PoolID) int { return c.repeatable[p] }
+func (c Contract) Repeats(p PoolID) int {
+	i, found := slices.BinarySearchFunc(c.repeatable, p, byPool)
+	if !found {
+		return 0
+	}
+	return c.repeatable[i].times
+}
+
+// RepeatablePools returns the pools whose calls may be repeated, in order of
+// their names.
+func (c Contract) RepeatablePools() []PoolID {
+	pools := make([]PoolID, 0, len(c.repeatable))
+	for _, r := range c.repeatable {
+		pools = append(pools, r.pool)
+	}
+	return pools
+}
