--- a/cmd/bluebelltray/main.go
+++ b/cmd/bluebelltray/main.go
@@ -2,15 +2,18 @@
 package main
 
 import (
+	"fmt"
 	"os"
 
 	"bluebelltray/io/bbtapp"
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 )
 
 // cli is the command line.
 type cli struct {
 	Serve  serveCmd  `cmd:"" help:"Run an entry host."`
+	Check  checkCmd  `cmd:"" help:"Check settings and configuration files and explain contracts."`
 	Demo   demoCmd   `cmd:"" help:"Run platform stand-in, endpoints, entry hosts and callers in one process and show goodput by tier."`
 	Send   sendCmd   `cmd:"" help:"Send a request as a caller does and print the answer."`
 	Status statusCmd `cmd:"" help:"Show a running host's view, endpoints, peers and counters."`
@@ -21,7 +24,29 @@
 	ctx := kong.Parse(&cli{},
 		kong.Name("bluebelltray"),
 		kong.Description("A request scheduler for unlike engines."),
-		kong.UsageOnError())
-	ctx.FatalIfErrorf(ctx.Run())
-	os.Exit(0)
+		kong.UsageOnError(),
+		kong.Exit(exit))
+	os.Exit(exitStatus(ctx.Run()))
+}
+
+// exitStatus prints err and returns the exit status it calls for.
+func exitStatus(err error) int {
+	if err == nil {
+		return 0
+	}
+	fmt.Fprintf(os.Stderr, "bluebelltray: %v\n", err)
+	var e *exitError
+	if errors.As(err, &e) {
+		return e.ExitCode()
+	}
+	return 1
+}
+
+// exit ends the process; the status for a wrong command line is the one for
+// unusable input.
+func exit(code int) {
+	if code != 0 {
+		code = exitUnusable
+	}
+	os.Exit(code)
 }
--- a/cmd/bluebelltray/serve.go
+++ b/cmd/bluebelltray/serve.go
@@ -16,7 +16,7 @@
 func (c *serveCmd) Run() error {
 	s, err := bbtsettings.Load(c.Settings)
 	if err != nil {
-		return err
+		return &exitError{code: exitUnusable, err: err}
 	}
 	log := bbtapp.NewLogger(s, os.Stderr)
 	defer log.Sync()
--- /dev/null
+++ b/internal/bbtprocess/build.go
@@ -0,0 +1,33 @@
+// Package bbtprocess runs stand-ins and entry hosts as separate processes for
+// tests of failure.
+package bbtprocess
+
+import (
+	"os/exec"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Binaries are the programs that the tests run.
+type Binaries struct {
+	host    string
+	standin string
+}
+
+// Build compiles the programs into dir. It runs the go command.
+func Build(dir string) (Binaries, error) {
+	b := Binaries{
+		host:    filepath.Join(dir, "bluebelltray"),
+		standin: filepath.Join(dir, "standin"),
+	}
+	for out, pkg := range map[string]string{
+		b.host:    "bluebelltray/cmd/bluebelltray",
+		b.standin: "bluebelltray/internal/standin",
+	} {
+		if text, err := exec.Command("go", "build", "-o", out, pkg).CombinedOutput(); err != nil {
+			return Binaries{}, errors.Wrapf(err, "build %s: %s", pkg, text)
+		}
+	}
+	return b, nil
+}
--- a/io/bbtkey/file.go
+++ b/io/bbtkey/file.go
@@ -71,9 +71,18 @@
 	chain := pem.EncodeToMemory(&pem.Block{Type: typeCertificate, Bytes: cert.Certificate[0]})
 	secret := pem.EncodeToMemory(&pem.Block{Type: typePrivateKey, Bytes: der})
 	for path, data := range map[string][]byte{f.cert: chain, f.key: secret, f.authority: a.PEM()} {
-		if err := os.WriteFile(path, data, modeKey); err != nil {
+		if err := replace(path, data); err != nil {
 			return Files{}, errors.Wrap(err, "write key file")
 		}
 	}
 	return f, nil
 }
+
+// replace puts data at path at once, so that nobody reads half a file.
+func replace(path string, data []byte) error {
+	tmp := path + ".new"
+	if err := os.WriteFile(tmp, data, modeKey); err != nil {
+		return err
+	}
+	return os.Rename(tmp, path)
+}
