core/bbtini: refuse faulty text, in bounded time and memory

A section with many keys took quadratic time, and a value of faulty lines held one problem each: a section now has at most 32 keys, and a report keeps 1000 problems and counts the others. A default section, an empty header and a header without its bracket had the library's own words, without the value.

--- a/cmd/bluebelltray/checker.go
+++ b/cmd/bluebelltray/checker.go
@@ -123,6 +123,7 @@
 		for _, p := range list.Problems() {
 			c.print(p)
 		}
+		c.problems += list.Dropped()
 	default:
 		c.print(bbtini.NewProblem(path, 0, err.Error(), bbtini.WithWant("a readable file")))
 	}
--- a/core/bbtini/block.go
+++ b/core/bbtini/block.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
+	"strings"
 	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
@@ -16,6 +18,9 @@
 	keys   []keyLine
 }
 
+// maxKeys is the largest number of keys of one section.
+const maxKeys = 32
+
 // keyLine is where a key stands.
 type keyLine struct {
 	key  string
@@ -61,7 +66,7 @@
 	name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
 	switch {
 	case !found:
-		return NewProblem(b.file, line, "line has no =", WithValue(string(trimmed)), WithWant("key = value")), false
+		return NewProblem(b.file, line, "has no =", WithValue(string(trimmed)), WithWant("key = value")), false
 	case !isKebab(name):
 		return NewProblem(b.file, line, "is no key", WithValue(string(name)),
 			WithWant("lower case letters, digits and single dashes between them")), false
@@ -74,7 +79,12 @@
 	}
 	if first := b.lineOf(string(name)); first > 0 {
 		return NewProblem(b.file, line, "key stands twice in its section", WithKey(string(name)),
-			WithValue(string(value)), WithWant("one line for each key")), false
+			WithValue(string(value)),
+			WithWant(fmt.Sprintf("one line for each key, the first being line %d", first))), false
+	}
+	if len(b.keys) == maxKeys {
+		return NewProblem(b.file, line, "section has too many keys", WithKey(string(name)),
+			WithWant(fmt.Sprintf("at most %d keys", maxKeys))), false
 	}
 	b.keys = append(b.keys, keyLine{key: string(name), line: line})
 	return Problem{}, true
@@ -92,13 +102,43 @@
 
 // load reads the block with the INI library.
 func (b *block) load(r *Report) (*Section, bool) {
+	if p, ok := b.vetHeader(); !ok {
+		r.Add(p)
+		return nil, false
+	}
 	f, err := ini.LoadSources(options, b.text)
 	if err != nil {
-		r.Add(NewProblem(b.file, b.header, "cannot be read: "+err.Error(), WithWant("[kind name]")))
+		r.Add(NewProblem(b.file, b.header, "cannot be read: "+err.Error(), WithWant(wantHeader)))
 		return nil, false
 	}
 	f.BlockMode = false
 	sections := f.Sections()
-	raw := sections[len(sections)-1]
-	return newSection(b, raw, r)
+	return newSection(b, sections[len(sections)-1], r), true
+}
+
+// wantHeader says what a header looks like.
+const wantHeader = "[kind name], the name of at most 64 letters, digits, dots, dashes and underscores"
+
+// vetHeader checks that the header has the form [kind name] or [kind].
+func (b *block) vetHeader() (Problem, bool) {
+	line, _ := cutLine(b.text)
+	end := bytes.LastIndexByte(line, ']')
+	if end < 0 {
+		return NewProblem(b.file, b.header, "has no closing bracket", WithValue(string(line)), WithWant(wantHeader)), false
+	}
+	kind, name := cutTitle(string(line[1:end]))
+	if !isKebab([]byte(kind)) || name != "" && !IsName(name) {
+		return NewProblem(b.file, b.header, "is no section name", WithValue(string(line[:end+1])), WithWant(wantHeader)), false
+	}
+	if !isComment(bytes.TrimSpace(line[end+1:])) {
+		return NewProblem(b.file, b.header, "header has text after its bracket", WithValue(string(line)),
+			WithWant("the header alone on its line")), false
+	}
+	return Problem{}, true
+}
+
+// cutTitle returns the kind and the name of a section.
+func cutTitle(title string) (kind, name string) {
+	kind, name, _ = strings.Cut(title, " ")
+	return kind, strings.TrimSpace(name)
 }
--- a/core/bbtini/error.go
+++ b/core/bbtini/error.go
@@ -8,15 +8,19 @@
 // shownProblems is how many problems the text of an Error names.
 const shownProblems = 10
 
-// Error holds all problems found in one or more files, in order of file and
+// Error holds the problems found in one or more files, in order of file and
 // line.
 type Error struct {
 	problems []Problem
+	dropped  int
 }
 
-// Problems returns all problems, which must not be changed.
+// Problems returns the problems, which must not be changed.
 func (e *Error) Problems() []Problem { return e.problems }
 
+// Dropped returns the number of problems beyond MaxProblems.
+func (e *Error) Dropped() int { return e.dropped }
+
 // Error lists the first problems, one a line, and the number of the others.
 func (e *Error) Error() string {
 	shown := e.problems[:min(len(e.problems), shownProblems)]
@@ -24,7 +28,7 @@
 	for _, p := range shown {
 		lines = append(lines, p.String())
 	}
-	if rest := len(e.problems) - len(shown); rest > 0 {
+	if rest := len(e.problems) - len(shown) + e.dropped; rest > 0 {
 		lines = append(lines, fmt.Sprintf("and %d more", rest))
 	}
 	return strings.Join(lines, "\n")
--- a/core/bbtini/read.go
+++ b/core/bbtini/read.go
@@ -6,7 +6,6 @@
 import (
 	"bytes"
 	"iter"
-	"unicode"
 )
 
 // Sections yields the sections of a file in their order. It reports faults of
@@ -72,19 +71,10 @@
 	for i, c := range name {
 		lower := c >= 'a' && c <= 'z'
 		digit := c >= '0' && c <= '9'
-		dash := c == '-' && i > 0 && i < len(name)-1
+		dash := c == '-' && i > 0 && i < len(name)-1 && name[i-1] != '-'
 		if !lower && !dash && (!digit || i == 0) {
 			return false
 		}
 	}
 	return len(name) > 0
 }
-
-// firstField returns text up to its first space and what follows the space.
-func firstField(text string) (first, rest string) {
-	i := bytes.IndexFunc([]byte(text), unicode.IsSpace)
-	if i < 0 {
-		return text, ""
-	}
-	return text[:i], text[i+1:]
-}
--- a/core/bbtini/report.go
+++ b/core/bbtini/report.go
@@ -5,13 +5,24 @@
 	"slices"
 )
 
+// MaxProblems is how many problems a Report keeps. Those that follow are only
+// counted, so that a file that is wrong throughout takes little memory.
+const MaxProblems = 1000
+
 // Report collects problems. The zero value is empty and ready to use.
 type Report struct {
 	problems []Problem
+	dropped  int
 }
 
 // Add records a problem.
-func (r *Report) Add(p Problem) { r.problems = append(r.problems, p) }
+func (r *Report) Add(p Problem) {
+	if len(r.problems) == MaxProblems {
+		r.dropped++
+		return
+	}
+	r.problems = append(r.problems, p)
+}
 
 // Err returns an *Error with the problems in order of file and line, or nil if
 // there are none. Problems of one line stay in the order they were added.
@@ -23,5 +34,5 @@
 	slices.SortStableFunc(sorted, func(a, b Problem) int {
 		return cmp.Or(cmp.Compare(a.file, b.file), cmp.Compare(a.line, b.line))
 	})
-	return &Error{problems: sorted}
+	return &Error{problems: sorted, dropped: r.dropped}
 }
--- a/core/bbtini/section.go
+++ b/core/bbtini/section.go
@@ -1,7 +1,6 @@
 package bbtini
 
 import (
-	"bytes"
 	"slices"
 	"strings"
 
@@ -18,27 +17,10 @@
 	report *Report
 }
 
-// newSection checks the header and returns the section.
-func newSection(b *block, raw *ini.Section, r *Report) (*Section, bool) {
-	kind, name := firstField(raw.Name())
-	s := &Section{block: b, kind: kind, name: strings.TrimSpace(name), raw: raw, report: r}
-	switch {
-	case !isKebab([]byte(kind)), s.name != "" && !IsName(s.name):
-		s.Refuse("is no section name", WithValue(raw.Name()),
-			WithWant("[kind name], the name of at most 64 letters, digits, dots, dashes and underscores"))
-		return nil, false
-	case !headerEnds(b.text):
-		s.Refuse("header has text after its bracket", WithWant("the header alone on its line"))
-		return nil, false
-	}
-	return s, true
-}
-
-// headerEnds reports whether nothing but a comment follows the header.
-func headerEnds(text []byte) bool {
-	line, _ := cutLine(text)
-	after := bytes.TrimSpace(line[bytes.LastIndexByte(line, ']')+1:])
-	return isComment(after)
+// newSection returns the section of a block whose header has been vetted.
+func newSection(b *block, raw *ini.Section, r *Report) *Section {
+	kind, name := cutTitle(raw.Name())
+	return &Section{block: b, kind: kind, name: name, raw: raw, report: r}
 }
 
 // Kind returns the header's first word.
