--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -6,7 +6,8 @@
 type endpoint struct {
 	record      bbtfleet.Endpoint
 	report      LoadReport
-	outstanding int // permits that may be running
+	held        []uint64 // prefixes its cache may hold
+	outstanding int      // permits that may be running
 }
 
 // room returns how many more permits the endpoint can take.
--- a/core/bbtgrant/owner.go
+++ b/core/bbtgrant/owner.go
@@ -117,6 +117,17 @@
 	return o.grant(now)
 }
 
+// Owns reports whether the host owns the endpoint.
+func (o *Owner) Owns(id bbtfleet.EndpointID) bool { return o.endpoints[id] != nil }
+
+// Cached records that an endpoint's cache holds a prefix. Such events come
+// late and with gaps.
+func (o *Owner) Cached(_ time.Time, id bbtfleet.EndpointID, prefix uint64) {
+	if e := o.endpoints[id]; e != nil {
+		e.held = append(e.held, prefix)
+	}
+}
+
 // Forget records that an entry host died. What it waited for is dropped; its
 // permits count until their dispatches must have ended.
 func (o *Owner) Forget(now time.Time, host bbtfleet.HostID) []Action {
--- a/core/bbtroute/request.go
+++ b/core/bbtroute/request.go
@@ -20,8 +20,9 @@
 	Output int
 
 	// Prefix identifies the start of the prompt that endpoints may hold in
-	// their caches; zero if none.
-	Prefix uint64
+	// their caches, and PrefixTokens its length; zero if none.
+	Prefix       uint64
+	PrefixTokens int
 
 	// Repeats is how often the call may run again after a dispatch whose
 	// outcome is unknown.
