bbtdaemon: calls that may not be repeated run through the executor

A call whose contract allows no repeat, or that carries a ticket, goes to the executor: to the ticket's host, into its ledger, and past the point of no return once. Its answer is read whole before anybody gets it.

--- a/core/bbtexec/executor.go
+++ b/core/bbtexec/executor.go
@@ -113,3 +113,6 @@
 	}
 	e.do(a)
 }
+
+// Active reports whether a call is not yet over.
+func (e *Executor) Active(id CallID) bool { return e.calls[id] != nil }
--- a/io/bbtdaemon/action.go
+++ b/io/bbtdaemon/action.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtmember"
@@ -20,7 +21,7 @@
 		case bbtroute.Dispatch:
 			d.dispatch(now, a)
 		case bbtroute.Refuse:
-			d.refuse(a)
+			d.refuse(now, a)
 		}
 	}
 }
@@ -73,6 +74,10 @@
 		d.doEntry(now, d.entry.Granted(now, from, m))
 	case bbtgrant.Shed:
 		d.doEntry(now, d.entry.Shedded(now, from, m))
+	case Forward:
+		d.forwarded(now, from, m)
+	case bbtexec.Message:
+		d.step(now, bbtexec.Received{From: from, Message: m})
 	case bbtview.Digest:
 		d.doView(now, d.keeper.PeerDigest(now, time.Time{}, from, m))
 	case bbtmember.Message:
@@ -92,23 +97,55 @@
 		d.doEntry(now, d.entry.Finished(now, a.Request, outcome))
 		return
 	}
+	x := dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
+	if j.call != nil {
+		d.attempt(now, x)
+		return
+	}
 	j.dispatched = true
 	d.counters.Add("dispatches", 1)
-	x := &dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
 	d.done.Go(x.run)
 }
 
+// attempt passes the point of no return of a call that runs at most once and
+// starts its dispatch.
+func (d *Daemon) attempt(now time.Time, x dispatch) {
+	number, ok := d.exec.Dispatch(now, x.job.call.id)
+	if !ok {
+		d.doEntry(now, d.entry.Finished(now, x.job.id, bbtroute.Outcome{Kind: bbtgrant.Cancelled}))
+		return
+	}
+	x.job.dispatched = true
+	d.counters.Add("dispatches", 1)
+	a := &attempt{dispatch: x, number: number}
+	d.done.Go(a.run)
+}
+
 // refuse ends a request. A failed dispatch's own reason says more than the
 // routing's.
-func (d *Daemon) refuse(a bbtroute.Refuse) {
+func (d *Daemon) refuse(now time.Time, a bbtroute.Refuse) {
 	j := d.jobs[a.Request]
 	if j == nil {
 		return
 	}
 	delete(d.jobs, a.Request)
 	err := a.Err
+	if j.call != nil {
+		d.rejectCall(now, j, err)
+		return
+	}
 	if j.last != nil && err.Verdict() == bbtverdict.MayHaveRun {
 		err = j.last
 	}
 	j.refuse(err)
 }
+
+// rejectCall passes the scheduler's refusal of a call on. A dispatch that may
+// have run was reported before.
+func (d *Daemon) rejectCall(now time.Time, j *job, err *bbtverdict.Error) {
+	j.cancel()
+	j.call.job = nil
+	if err.Verdict() == bbtverdict.NotRun {
+		d.step(now, bbtexec.Rejected{Call: j.call.id, Reason: err.Reason(), RetryAfter: err.RetryAfter()})
+	}
+}
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -4,16 +4,21 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"bluebelltray"
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbthome"
+	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtticket"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbthttp"
 	"bluebelltray/io/bbtmetric"
@@ -26,6 +31,8 @@
 const (
 	eventQueue      = 4096
 	tickPeriod      = 50 * time.Millisecond
+	execPeriod      = time.Second
+	secretBytes     = 32
 	loadPeriod      = 500 * time.Millisecond
 	loadTimeout     = time.Second
 	defaultLifetime = 30 * time.Second
@@ -48,20 +55,24 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	keeper  *bbtview.Keeper
-	member  *bbtmember.Member
-	entry   *bbtroute.Entry
-	owner   *bbtgrant.Owner
-	config  *bbtfleet.Configuration
-	hosts   bbtfleet.HostList
-	places  *bbtowner.Map // over all hosts of the list
-	callers *bbtowner.Map // over the hosts that callers may be sent to
-	leaving bool
-	jobs    map[bbtgrant.RequestID]*job
-	lastID  bbtgrant.RequestID
-	local   []bbtgrant.Message
-	pollers map[bbtfleet.EndpointID]*poller
-	asking  *bbtpeer.Exchange // of the peer's question at hand
+	keeper   *bbtview.Keeper
+	member   *bbtmember.Member
+	entry    *bbtroute.Entry
+	owner    *bbtgrant.Owner
+	config   *bbtfleet.Configuration
+	hosts    bbtfleet.HostList
+	places   *bbtowner.Map // over all hosts of the list
+	callers  *bbtowner.Map // over the hosts that callers may be sent to
+	leaving  bool
+	jobs     map[bbtgrant.RequestID]*job
+	lastID   bbtgrant.RequestID
+	exec     *bbtexec.Executor
+	calls    map[bbtexec.CallID]*call
+	lastCall bbtexec.CallID
+	second   time.Time // when the executor was told the time last
+	local    []any
+	pollers  map[bbtfleet.EndpointID]*poller
+	asking   *bbtpeer.Exchange // of the peer's question at hand
 }
 
 // Option sets an optional part of a Daemon.
@@ -104,6 +115,8 @@
 		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
 		entry:    bbtroute.New(id, start),
 		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
+		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
+		calls:    make(map[bbtexec.CallID]*call),
 		jobs:     make(map[bbtgrant.RequestID]*job),
 		pollers:  make(map[bbtfleet.EndpointID]*poller),
 	}
@@ -116,6 +129,13 @@
 	return d
 }
 
+// newExecutor returns the executor of a process with a secret of its own.
+func newExecutor(id bbtfleet.HostID, inc bbtfleet.Incarnation, start time.Time) *bbtexec.Executor {
+	secret := make([]byte, secretBytes)
+	_, _ = crand.Read(secret) // never fails
+	return bbtexec.New(bbtticket.NewIssuer(id, inc, start, secret), bbtledger.NewLedger(), bbthome.New(id, keyHome))
+}
+
 // Counters returns the daemon's metrics.
 func (d *Daemon) Counters() *bbtmetric.Counters { return d.counters }
 
@@ -154,6 +174,11 @@
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
+	if now.Sub(d.second) >= execPeriod {
+		d.second = now
+		d.step(now, bbtexec.Tick{})
+		d.pruneCalls()
+	}
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
--- a/io/bbtdaemon/drain.go
+++ b/io/bbtdaemon/drain.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
@@ -46,6 +47,7 @@
 	}
 	d.leaving = true
 	d.log.Info("draining")
+	d.step(now, bbtexec.Drain{})
 	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
 	d.rank(now)
 }
--- a/io/bbtdaemon/event.go
+++ b/io/bbtdaemon/event.go
@@ -17,7 +17,7 @@
 type submitted struct{ job *job }
 
 // cancelled says that a request's caller has left.
-type cancelled struct{ id bbtgrant.RequestID }
+type cancelled struct{ job *job }
 
 // firstToken says that the first bytes of an answer arrived.
 type firstToken struct{ id bbtgrant.RequestID }
@@ -52,7 +52,7 @@
 
 func (ev submitted) apply(d *Daemon, now time.Time) { d.submit(now, ev.job) }
 
-func (ev cancelled) apply(d *Daemon, now time.Time) { d.cancelJob(now, ev.id) }
+func (ev cancelled) apply(d *Daemon, now time.Time) { d.cancelJob(now, ev.job) }
 
 func (ev firstToken) apply(d *Daemon, now time.Time) {
 	d.doEntry(now, d.entry.FirstToken(now, ev.id))
--- /dev/null
+++ b/io/bbtdaemon/execute.go
@@ -0,0 +1,127 @@
+package bbtdaemon
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtexec"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtsuspect"
+	"bluebelltray/core/bbtverdict"
+)
+
+// step passes an event to the executor and carries out what it asks for.
+func (d *Daemon) step(now time.Time, ev bbtexec.Event) {
+	for _, a := range d.exec.Step(now, ev) {
+		switch a := a.(type) {
+		case bbtexec.Run:
+			d.runCall(now, a.Call)
+		case bbtexec.Cancel:
+			d.cancelCall(now, a.Call)
+		case bbtexec.Answer:
+			d.endCall(a.Call, result{answer: &heldAnswer{answer: a.Answer}})
+		case bbtexec.Refuse:
+			d.endCall(a.Call, result{err: refusalOf(a)})
+		case bbtexec.Send:
+			d.sendExec(now, a)
+		}
+	}
+}
+
+// submitCall starts a request that runs at most once.
+func (d *Daemon) submitCall(now time.Time, j *job, repeatable bool) {
+	c := d.newCall()
+	c.req, c.result = j.req, j.result
+	j.call = c
+	d.counters.Add("requests-once", 1)
+	d.step(now, bbtexec.Submit{
+		Call:        c.id,
+		Account:     j.req.Account(),
+		Ticket:      j.req.Ticket(),
+		Key:         j.req.Key(),
+		Fingerprint: uint64(bbtsuspect.Of(j.req.Account(), j.req.Path(), j.req.Body())),
+		First:       j.req.First(),
+		Repeatable:  repeatable,
+	})
+}
+
+// newCall returns a call with a new number.
+func (d *Daemon) newCall() *call {
+	d.lastCall++
+	c := &call{id: d.lastCall}
+	d.calls[c.id] = c
+	return c
+}
+
+// runCall hands a call to the scheduler, unless it is there already.
+func (d *Daemon) runCall(now time.Time, id bbtexec.CallID) {
+	c := d.calls[id]
+	if c == nil || c.job != nil {
+		return
+	}
+	contract, ok := d.config.Contract(c.req.Account())
+	if !ok {
+		d.step(now, bbtexec.Rejected{Call: id, Reason: bbtverdict.ReasonUnknownAccount})
+		return
+	}
+	c.job = d.jobOf(c)
+	d.schedule(now, c.job, contract)
+}
+
+// cancelCall withdraws a call from the scheduler.
+func (d *Daemon) cancelCall(now time.Time, id bbtexec.CallID) {
+	c := d.calls[id]
+	if c == nil {
+		return
+	}
+	delete(d.calls, id)
+	if c.job != nil {
+		delete(d.jobs, c.job.id)
+		d.doEntry(now, d.entry.Cancel(now, c.job.id))
+		c.job.cancel()
+	}
+}
+
+// endCall hands the result of a call to its caller. The job of a call whose
+// caller left goes on.
+func (d *Daemon) endCall(id bbtexec.CallID, r result) {
+	if c := d.calls[id]; c != nil {
+		delete(d.calls, id)
+		c.finish(r)
+	}
+}
+
+// sendExec passes an executor's message to a peer.
+func (d *Daemon) sendExec(now time.Time, a bbtexec.Send) {
+	var msg any = a.Message
+	if f, ok := a.Message.(bbtexec.ForwardRequest); ok {
+		c := d.calls[a.Call]
+		if c == nil {
+			return
+		}
+		d.counters.Add("calls-forwarded", 1)
+		msg = newForward(f, c.req)
+	}
+	if a.To == d.id {
+		d.local = append(d.local, msg)
+		return
+	}
+	if !d.peers.Send(a.To, msg) {
+		d.step(now, bbtexec.SendFailed{To: a.To, Message: a.Message})
+	}
+}
+
+// forwarded starts a call that a peer passed on.
+func (d *Daemon) forwarded(now time.Time, from bbtfleet.HostID, f Forward) {
+	c := d.newCall()
+	c.req = f.request()
+	d.step(now, bbtexec.Received{From: from, Call: c.id, Message: f.Request})
+}
+
+// pruneCalls forgets calls that the executor is done with.
+func (d *Daemon) pruneCalls() {
+	for id, c := range d.calls {
+		if !d.exec.Active(id) {
+			delete(d.calls, id)
+		}
+	}
+}
--- /dev/null
+++ b/io/bbtdaemon/forward.go
@@ -0,0 +1,42 @@
+package bbtdaemon
+
+import (
+	"bluebelltray"
+	"bluebelltray/core/bbtexec"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/io/bbthttp"
+)
+
+// Forward passes a call to its executor's host. Its fields are exported as the
+// codec requires.
+type Forward struct {
+	Request     bbtexec.ForwardRequest `cbor:"1,keyasint"`
+	Pool        bbtfleet.PoolID        `cbor:"2,keyasint"`
+	Method      string                 `cbor:"3,keyasint"`
+	Path        string                 `cbor:"4,keyasint"`
+	ContentType string                 `cbor:"5,keyasint,omitempty"`
+	Body        []byte                 `cbor:"6,keyasint,omitempty"`
+	Prompt      int                    `cbor:"7,keyasint,omitempty"` // tokens
+	Output      int                    `cbor:"8,keyasint,omitempty"` // tokens
+}
+
+// newForward returns the message that carries req beside m.
+func newForward(m bbtexec.ForwardRequest, req bluebelltray.Request) Forward {
+	return Forward{
+		Request:     m,
+		Pool:        req.Pool(),
+		Method:      req.Method(),
+		Path:        req.Path(),
+		ContentType: req.ContentType(),
+		Body:        req.Body(),
+		Prompt:      req.PromptTokens(),
+		Output:      req.MaxTokens(),
+	}
+}
+
+// request returns the forwarded request.
+func (f Forward) request() *bbthttp.Request {
+	return bbthttp.NewRequest(f.Request.Account, f.Pool, f.Method, f.Path,
+		bbthttp.WithContent(f.ContentType, f.Body),
+		bbthttp.WithTokens(f.Prompt, f.Output))
+}
--- a/io/bbtdaemon/job.go
+++ b/io/bbtdaemon/job.go
@@ -11,6 +11,8 @@
 // job is one request that a caller waits for.
 type job struct {
 	ctx        context.Context // ends when the caller leaves
+	cancel     func()          // ends ctx; nil for a caller's own
+	call       *call           // of a request that runs at most once; otherwise nil
 	req        bluebelltray.Request
 	id         bbtgrant.RequestID
 	result     chan result
--- a/io/bbtdaemon/reader.go
+++ b/io/bbtdaemon/reader.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtview"
 )
 
@@ -36,7 +38,7 @@
 		r.daemon.post(partRead{key: a.Key, value: v, err: err})
 	case bbtview.ReadHosts:
 		l, err := p.Hosts(ctx)
-		r.daemon.post(hostsRead{hosts: l, err: err})
+		r.daemon.post(hostsRead{asked: asked, hosts: l, err: err})
 	}
 }
 
@@ -57,6 +59,7 @@
 
 // hostsRead is the result of a read of the host list.
 type hostsRead struct {
+	asked time.Time
 	hosts bbtfleet.HostList
 	err   error
 }
@@ -89,4 +92,5 @@
 		return
 	}
 	d.doView(now, d.keeper.HostsRead(now, ev.hosts))
+	d.step(now, bbtexec.ViewConfirmed{Asked: ev.asked, View: bbthome.NewView(ev.hosts)})
 }
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"bluebelltray"
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
-	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtroute"
 	"bluebelltray/core/bbtverdict"
 	"github.com/cespare/xxhash/v2"
@@ -72,10 +72,20 @@
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount))
 		return
 	}
+	context.AfterFunc(j.ctx, func() { d.post(cancelled{j}) })
+	repeatable := contract.Repeats(j.req.Pool()) > 0
+	if repeatable && j.req.Ticket() == "" {
+		d.schedule(now, j, contract)
+		return
+	}
+	d.submitCall(now, j, repeatable)
+}
+
+// schedule routes a job under its account's contract.
+func (d *Daemon) schedule(now time.Time, j *job, contract bbtfleet.Contract) {
 	d.lastID++
 	j.id = d.lastID
 	d.jobs[j.id] = j
-	context.AfterFunc(j.ctx, func() { d.post(cancelled{j.id}) })
 	d.counters.Add("requests", 1)
 	d.doEntry(now, d.entry.Submit(now, routed(now, j, contract)))
 }
@@ -92,19 +102,32 @@
 		Prompt:   j.req.PromptTokens(),
 		Output:   j.req.MaxTokens(),
 		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
-		Repeats:  c.Repeats(j.req.Pool()),
+		Repeats:  j.repeats(c),
 	}
 }
 
+// repeats returns how often the scheduler may dispatch the job again after a
+// dispatch that may have run.
+func (j *job) repeats(c bbtfleet.Contract) int {
+	if j.call != nil {
+		return 0
+	}
+	return c.Repeats(j.req.Pool())
+}
+
 // cancelJob ends a request whose caller has left. A dispatch that is under way
 // ends by itself, since its context has ended.
-func (d *Daemon) cancelJob(now time.Time, id bbtgrant.RequestID) {
-	j := d.jobs[id]
-	if j == nil {
+func (d *Daemon) cancelJob(now time.Time, j *job) {
+	if j.call != nil {
+		d.step(now, bbtexec.CallerGone{Call: j.call.id})
+		j.refuse(bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonCancelled))
+		return
+	}
+	if d.jobs[j.id] != j {
 		return
 	}
-	delete(d.jobs, id)
-	d.doEntry(now, d.entry.Cancel(now, id))
+	delete(d.jobs, j.id)
+	d.doEntry(now, d.entry.Cancel(now, j.id))
 	if !j.dispatched {
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
 	}
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
@@ -66,6 +68,7 @@
 	}
 	d.place(now)
 	if c.State == bbtmember.Dead {
+		d.step(now, bbtexec.PeerLost{Host: c.Host})
 		d.doOwner(now, d.owner.Forget(now, c.Host))
 		d.doEntry(now, d.entry.HostLost(now, c.Host))
 	}
@@ -86,6 +89,7 @@
 	d.counters.Set("host-list-revision", int64(hosts.Revision()))
 	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
 	d.doMember(now, d.member.SetHosts(now, hosts))
+	d.step(now, bbtexec.ViewConfirmed{View: bbthome.NewView(hosts)})
 	d.rank(now)
 }
 
--- a/io/bbtdaemon/wire.go
+++ b/io/bbtdaemon/wire.go
@@ -1,6 +1,7 @@
 package bbtdaemon
 
 import (
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtview"
@@ -24,5 +25,10 @@
 		bbtmember.Ack{},
 		bbtmember.Relay{},
 		bbtmember.Relayed{},
+		Forward{},
+		bbtexec.ForwardReply{},
+		bbtexec.ForwardCancel{},
+		bbtexec.IssueRequest{},
+		bbtexec.IssueReply{},
 	)
 }
