--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -1,14 +1,143 @@
 package bbtgrant
 
-import "bluebelltray/core/bbtfleet"
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+const (
+	refusedPause = time.Second // after an endpoint refused a dispatch
+	gapGoal      = 0.036       // seconds between tokens
+	gapEasy      = 0.033       // seconds between tokens, below which the limit may rise
+	limitFloor   = 0.6         // of the slots
+	limitStep    = 2 * time.Second
+)
 
 // endpoint is the owner's state of one owned endpoint.
 type endpoint struct {
 	record      bbtfleet.Endpoint
-	report      LoadReport
-	held        []uint64 // prefixes its cache may hold
-	outstanding int      // permits that may be running
+	incarnation bbtfleet.Incarnation
+	reported    time.Time // time of the newest report; zero before the first
+	settled     time.Time // until then a former owner's permits may be used
+	paused      time.Time // until then nothing is granted
+	outstanding int       // permits that may be running
+	alone       bool      // runs a request that must run alone
+	foreign     int       // requests of other owners
+	limit       int       // requests it serves well at once
+	adjusted    time.Time // when the limit last moved
+	ramp        ramp
+	pace        pace
+	history     history
+	held        prefixes
+}
+
+func newEndpoint(now time.Time, record bbtfleet.Endpoint, settled time.Time) *endpoint {
+	e := &endpoint{record: record, settled: settled, limit: record.Slots(), pace: newPace(now)}
+	e.ramp.cool(now)
+	return e
+}
+
+// room returns how many more requests the endpoint can take now. While a
+// former owner's permits may still be used it leaves half of the room to them.
+func (e *endpoint) room(now time.Time) int {
+	if e.alone || now.Before(e.paused) {
+		return 0
+	}
+	most := min(e.limit, e.ramp.cap(e.record.Slots()))
+	room := most - e.foreign - e.outstanding
+	if now.Before(e.settled) {
+		return min(room, (most-e.foreign+1)/2-e.outstanding)
+	}
+	return room
 }
 
-// room returns how many more permits the endpoint can take.
-func (e *endpoint) room() int { return e.record.Slots() - e.outstanding }
+// use returns the part of the endpoint's limit that is in use.
+func (e *endpoint) use() float64 {
+	return float64(e.outstanding+e.foreign) / float64(max(1, e.limit))
+}
+
+// count changes the number of outstanding permits.
+func (e *endpoint) count(now time.Time, by int) {
+	e.outstanding += by
+	e.history.note(now, e.outstanding)
+	if e.outstanding == 0 {
+		e.alone = false
+	}
+}
+
+// report takes a load report in.
+func (e *endpoint) report(now time.Time, r LoadReport) {
+	if r.Incarnation < e.incarnation || !r.At.After(e.reported) {
+		return
+	}
+	first := e.reported.IsZero()
+	e.reported = r.At
+	if r.Incarnation != e.incarnation {
+		e.incarnation = r.Incarnation
+		e.ramp.cool(now)
+		e.held = prefixes{}
+		first = true
+	}
+	if first && r.Served >= warmServed {
+		e.ramp.heat()
+	}
+	e.foreign = max(0, r.Running+r.Queued-e.history.at(r.At))
+	if r.Queued > 0 && e.foreign == 0 && e.ramp.warm {
+		e.lower(now, max(1, r.Running))
+	}
+}
+
+// done takes the end of a dispatch in.
+func (e *endpoint) done(now time.Time, d Done) {
+	if d.Outcome == Refused {
+		e.paused = now.Add(refusedPause)
+		return
+	}
+	if e.ramp.done(now, d) {
+		e.ramp.cool(now)
+		e.held = prefixes{}
+	}
+	e.ramp.raise(now, e.record.Slots())
+	if d.Outcome == Finished {
+		e.pace.learn(d)
+		e.adjust(now)
+	}
+}
+
+// adjust moves the limit so that tokens keep coming fast enough.
+func (e *endpoint) adjust(now time.Time) {
+	if now.Sub(e.adjusted) < limitStep {
+		return
+	}
+	switch {
+	case e.pace.gap > gapGoal && e.use() > limitFloor:
+		e.lower(now, e.limit-1)
+	case e.pace.gap < gapEasy && e.limit < e.record.Slots():
+		e.limit++
+		e.adjusted = now
+	}
+}
+
+// lower sets the limit, within its floor.
+func (e *endpoint) lower(now time.Time, limit int) {
+	floor := max(1, int(limitFloor*float64(e.record.Slots())))
+	e.limit = max(floor, min(e.limit, limit))
+	e.adjusted = now
+}
+
+// unread returns the prompt tokens of a request that the endpoint has to read.
+func (e *endpoint) unread(r Registration) float64 {
+	if e.held.hold(r.Prefix) {
+		return float64(max(0, r.Prompt-r.PrefixTokens))
+	}
+	return float64(r.Prompt)
+}
+
+// configure takes a changed record over.
+func (e *endpoint) configure(record bbtfleet.Endpoint) {
+	if record.Slots() != e.record.Slots() {
+		e.limit = record.Slots()
+	}
+	e.record = record
+}
--- a/core/bbtgrant/grant.go
+++ b/core/bbtgrant/grant.go
@@ -11,43 +11,42 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+// orphanTime is how long the end of a dead host's connections takes to show in
+// load reports.
+const orphanTime = 2 * time.Second
+
 // fresh reports whether the view was confirmed within the lease.
 func (o *Owner) fresh(now time.Time) bool {
 	return !o.confirmed.IsZero() && now.Sub(o.confirmed) < o.lease
 }
 
-// grant hands out permits while requests wait and endpoints have room.
-func (o *Owner) grant(now time.Time) []Action {
-	if !o.fresh(now) {
-		return nil
-	}
+// grantAll hands out permits in all pools.
+func (o *Owner) grantAll(now time.Time) []Action {
 	var out []Action
-	for _, id := range slices.Sorted(maps.Keys(o.pools)) {
-		out = append(out, o.grantPool(now, o.pools[id])...)
+	for _, id := range o.order {
+		out = append(out, o.grant(now, o.pools[id])...)
 	}
 	return out
 }
 
-func (o *Owner) grantPool(now time.Time, p *pool) []Action {
+// grant hands out permits while requests wait and endpoints have room.
+func (o *Owner) grant(now time.Time, p *pool) []Action {
+	if p == nil || p.queue.Len() == 0 || !o.fresh(now) {
+		return nil
+	}
 	var out []Action
-	for {
-		var best *endpoint
-		for _, e := range p.endpoints {
-			if e.room() > 0 && (best == nil || e.room() > best.room()) {
-				best = e
-			}
-		}
-		if best == nil {
-			return out
-		}
+	for room := p.withRoom(now); len(room) > 0; room = p.withRoom(now) {
+		var e *endpoint
 		it, ok := p.queue.Next(func(it bbtqueue.Item) bool {
-			return !slices.Contains(p.waiters[it.Key].Exclude, best.record.ID())
+			e = p.choose(now, room, it)
+			return e != nil
 		})
 		if !ok {
-			return out
+			break
 		}
-		out = append(out, o.permit(now, p, best, it))
+		out = append(out, o.permit(now, p, e, it))
 	}
+	return out
 }
 
 // permit records and returns the grant of one permit.
@@ -55,41 +54,57 @@
 	w := p.waiters[it.Key]
 	delete(p.waiters, it.Key)
 	o.lastPermit++
-	e.outstanding++
-	o.permits[o.lastPermit] = &permit{
+	e.count(now, 1)
+	e.alone = w.Alone
+	r := &permit{
 		id:       o.lastPermit,
 		host:     it.Key.Host,
-		endpoint: e.record.ID(),
-		until:    later(now.Add(o.permitLife), it.Deadline),
+		endpoint: e,
+		item:     it,
+		reg:      w.Registration,
+		unread:   e.unread(w.Registration),
+		until:    later(now.Add(o.permitLife), it.Deadline.Add(orphanTime)),
 	}
+	e.pace.add(now, r.unread)
+	e.held.use(w.Prefix)
+	o.permits.add(r)
 	return Grant{To: it.Key.Host, Permit: Permit{
-		ID:          o.lastPermit,
+		ID:          r.id,
 		Request:     w.Request,
 		Endpoint:    e.record.ID(),
-		Incarnation: e.report.Incarnation,
+		Incarnation: e.incarnation,
 		Expiry:      w.Sent + now.Sub(w.arrived) + o.permitLife,
 	}}
 }
 
-// release stops counting a permit.
-func (o *Owner) release(p *permit) {
-	delete(o.permits, p.id)
-	if e := o.endpoints[p.endpoint]; e != nil {
-		e.outstanding--
+// refund undoes the charge of a permit that was not used.
+func (o *Owner) refund(p *permit) {
+	if pool := o.pools[p.reg.Pool]; pool != nil {
+		pool.queue.Refund(p.item)
 	}
 }
 
+// release stops counting a permit and grants what it leaves room for.
+func (o *Owner) release(now time.Time, p *permit) []Action {
+	o.permits.remove(p)
+	p.endpoint.count(now, -1)
+	return o.grant(now, o.pools[p.reg.Pool])
+}
+
 // adopt starts or goes on owning an endpoint.
-func (o *Owner) adopt(_ time.Time, ep bbtfleet.Endpoint) {
-	if e := o.endpoints[ep.ID()]; e != nil {
-		e.record = ep
+func (o *Owner) adopt(now time.Time, ep bbtfleet.Endpoint) {
+	if e := o.endpoints[ep.ID()]; e != nil && e.record.Pool() == ep.Pool() {
+		e.configure(ep)
 		return
 	}
-	e := &endpoint{record: ep}
+	e := newEndpoint(now, ep, now.Add(o.lease+o.permitLife))
+	if old := o.endpoints[ep.ID()]; old != nil {
+		o.drop(old)
+	}
 	o.endpoints[ep.ID()] = e
 	p := o.pools[ep.Pool()]
 	if p == nil {
-		p = &pool{queue: bbtqueue.New(o.waiting), waiters: make(map[bbtqueue.Key]waiter)}
+		p = newPool(o.waiting)
 		o.pools[ep.Pool()] = p
 	}
 	p.endpoints = append(p.endpoints, e)
@@ -98,7 +113,7 @@
 	})
 }
 
-// drop stops owning an endpoint.
+// drop stops owning an endpoint. Its permits stay until their dispatches end.
 func (o *Owner) drop(e *endpoint) {
 	delete(o.endpoints, e.record.ID())
 	if p := o.pools[e.record.Pool()]; p != nil {
@@ -106,15 +121,15 @@
 	}
 }
 
-// shedOrphans sheds what waits for pools without endpoints.
-func (o *Owner) shedOrphans() []Action {
+// dropPools sheds what waits for pools without endpoints.
+func (o *Owner) dropPools() []Action {
 	var out []Action
 	for _, id := range slices.Sorted(maps.Keys(o.pools)) {
 		p := o.pools[id]
 		if len(p.endpoints) > 0 {
 			continue
 		}
-		for _, it := range p.queue.Evict(func(bbtqueue.Item) bool { return true }) {
+		for _, it := range p.drop(func(bbtqueue.Item) bool { return true }) {
 			out = append(out, shed(it.Key, bbtverdict.ReasonUnknownPool))
 		}
 		delete(o.pools, id)
--- a/core/bbtgrant/option.go
+++ b/core/bbtgrant/option.go
@@ -5,9 +5,9 @@
 // Option sets an optional part of an Owner.
 type Option func(*Owner)
 
-// WithFirstPermit sets the number of the first permit. Processes that follow
-// one another as owner must not repeat numbers; the process's start time in
-// nanoseconds serves.
+// WithFirstPermit sets the number before that of the first permit. Processes
+// that follow one another as owner must not repeat numbers; the process's
+// start time in nanoseconds serves.
 func WithFirstPermit(id PermitID) Option { return func(o *Owner) { o.lastPermit = id } }
 
 // WithLease sets how long a confirmation of the view allows grants, and how
--- a/core/bbtgrant/owner.go
+++ b/core/bbtgrant/owner.go
@@ -31,7 +31,8 @@
 	lastPermit PermitID
 	endpoints  map[bbtfleet.EndpointID]*endpoint
 	pools      map[bbtfleet.PoolID]*pool
-	permits    map[PermitID]*permit
+	order      []bbtfleet.PoolID // of pools, sorted
+	permits    permits
 }
 
 // New returns an owner of no endpoints. It grants nothing before its view is
@@ -43,7 +44,6 @@
 		waiting:    defaultWaiting,
 		endpoints:  make(map[bbtfleet.EndpointID]*endpoint),
 		pools:      make(map[bbtfleet.PoolID]*pool),
-		permits:    make(map[PermitID]*permit),
 	}
 	for _, opt := range opts {
 		opt(o)
@@ -64,24 +64,29 @@
 			o.drop(o.endpoints[id])
 		}
 	}
-	return append(o.shedOrphans(), o.grant(now)...)
+	out := o.dropPools()
+	o.order = slices.Sorted(maps.Keys(o.pools))
+	return append(out, o.grantAll(now)...)
 }
 
+// Owns reports whether the host owns the endpoint.
+func (o *Owner) Owns(id bbtfleet.EndpointID) bool { return o.endpoints[id] != nil }
+
 // Confirm records that the view was compared with the platform or a peer and
 // found current.
 func (o *Owner) Confirm(now time.Time) []Action {
 	o.confirmed = now
-	return o.grant(now)
+	return o.grantAll(now)
 }
 
 // Register puts a request into the waiting room and grants it a permit as soon
 // as it is its turn.
 func (o *Owner) Register(now time.Time, from bbtfleet.HostID, r Registration) []Action {
 	p := o.pools[r.Pool]
-	if p == nil || len(p.endpoints) == 0 {
+	if p == nil {
 		return []Action{Shed{To: from, Request: r.Request, Reason: bbtverdict.ReasonUnknownPool}}
 	}
-	return append(p.push(now, from, r), o.grant(now)...)
+	return append(p.push(now, from, r), o.grant(now, p)...)
 }
 
 // Withdraw takes a waiting request out.
@@ -95,65 +100,83 @@
 
 // Return takes back a permit under which nothing was dispatched.
 func (o *Owner) Return(now time.Time, from bbtfleet.HostID, id PermitID) []Action {
-	if p := o.permits[id]; p != nil && p.host == from {
-		o.release(p)
+	p := o.permits.get(from, id)
+	if p == nil {
+		return nil
 	}
-	return o.grant(now)
+	p.endpoint.pace.unread(p.unread)
+	o.refund(p)
+	return o.release(now, p)
 }
 
 // Done records the end of a dispatch.
 func (o *Owner) Done(now time.Time, from bbtfleet.HostID, d Done) []Action {
-	if p := o.permits[d.Permit]; p != nil && p.host == from {
-		o.release(p)
+	p := o.permits.get(from, d.Permit)
+	if p == nil {
+		return nil
+	}
+	p.endpoint.done(now, d)
+	if pool := o.pools[p.reg.Pool]; pool != nil && d.Outcome == Finished {
+		pool.lengths.learn(p.reg.Output, d.Output)
 	}
-	return o.grant(now)
+	return o.release(now, p)
 }
 
 // Load records a load report.
 func (o *Owner) Load(now time.Time, r LoadReport) []Action {
-	if e := o.endpoints[r.Endpoint]; e != nil {
-		e.report = r
+	e := o.endpoints[r.Endpoint]
+	if e == nil {
+		return nil
 	}
-	return o.grant(now)
+	e.report(now, r)
+	return o.grant(now, o.pools[e.record.Pool()])
 }
 
-// Owns reports whether the host owns the endpoint.
-func (o *Owner) Owns(id bbtfleet.EndpointID) bool { return o.endpoints[id] != nil }
-
-// Cached records that an endpoint's cache holds a prefix. Such events come
-// late and with gaps.
-func (o *Owner) Cached(_ time.Time, id bbtfleet.EndpointID, prefix uint64) {
-	if e := o.endpoints[id]; e != nil {
-		e.held = append(e.held, prefix)
+// Cached records a cache event.
+func (o *Owner) Cached(_ time.Time, c CacheEvent) []Action {
+	e := o.endpoints[c.Endpoint]
+	switch {
+	case e == nil:
+	case c.Evicted:
+		e.held.drop(c.Prefix)
+	default:
+		e.held.use(c.Prefix)
 	}
+	return nil
 }
 
-// Forget records that an entry host died. What it waited for is dropped; its
-// permits count until their dispatches must have ended.
+// Forget records that an entry host died. What it waited for is dropped. Its
+// permits count until they have expired; what still runs then shows in the
+// endpoint's load reports.
 func (o *Owner) Forget(now time.Time, host bbtfleet.HostID) []Action {
 	for _, p := range o.pools {
-		p.forget(host)
+		p.drop(func(it bbtqueue.Item) bool { return it.Key.Host == host })
+	}
+	for _, id := range slices.Sorted(maps.Keys(o.permits.byID)) {
+		if p := o.permits.byID[id]; p.host == host {
+			o.permits.end(p, now.Add(o.permitLife+orphanTime))
+		}
 	}
-	return o.grant(now)
+	return o.grantAll(now)
 }
 
 // Tick does what is due by time alone.
 func (o *Owner) Tick(now time.Time) []Action {
-	for _, id := range slices.Sorted(maps.Keys(o.permits)) {
-		if p := o.permits[id]; !now.Before(p.until) {
-			o.release(p)
-		}
+	var out []Action
+	for p := o.permits.due(now); p != nil; p = o.permits.due(now) {
+		out = append(out, o.release(now, p)...)
+	}
+	for _, id := range o.order {
+		out = append(out, o.pools[id].expire(now)...)
 	}
-	return o.grant(now)
+	return append(out, o.grantAll(now)...)
 }
 
 // Next returns when Tick is wanted; the zero time if never.
 func (o *Owner) Next() time.Time {
-	var next time.Time
-	for _, p := range o.permits {
-		if next.IsZero() || p.until.Before(next) {
-			next = p.until
-		}
+	next := o.permits.next()
+	for _, id := range o.order {
+		next = earlier(next, o.pools[id].next(), time.Time{})
 	}
 	return next
 }
--- a/core/bbtgrant/permit.go
+++ b/core/bbtgrant/permit.go
@@ -1,15 +1,101 @@
 package bbtgrant
 
 import (
+	"container/heap"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtqueue"
 )
 
 // permit is the owner's record of one outstanding permit.
 type permit struct {
 	id       PermitID
 	host     bbtfleet.HostID
-	endpoint bbtfleet.EndpointID
+	endpoint *endpoint
+	item     bbtqueue.Item
+	reg      Registration
+	unread   float64   // prompt tokens the endpoint has to read
 	until    time.Time // the dispatch has ended by then even if nobody says so
+	index    int       // in the heap
+}
+
+// permits holds the outstanding permits and finds the one that ends first.
+type permits struct {
+	byID map[PermitID]*permit
+	heap permitHeap
+}
+
+func (t *permits) add(p *permit) {
+	if t.byID == nil {
+		t.byID = make(map[PermitID]*permit)
+	}
+	t.byID[p.id] = p
+	heap.Push(&t.heap, p)
+}
+
+func (t *permits) remove(p *permit) {
+	delete(t.byID, p.id)
+	heap.Remove(&t.heap, p.index)
+}
+
+// get returns the host's permit, or nil.
+func (t *permits) get(host bbtfleet.HostID, id PermitID) *permit {
+	if p := t.byID[id]; p != nil && p.host == host {
+		return p
+	}
+	return nil
+}
+
+// due returns a permit whose dispatch must have ended, or nil.
+func (t *permits) due(now time.Time) *permit {
+	if len(t.heap) == 0 || now.Before(t.heap[0].until) {
+		return nil
+	}
+	return t.heap[0]
+}
+
+// next returns when the first permit is due; the zero time if there is none.
+func (t *permits) next() time.Time {
+	if len(t.heap) == 0 {
+		return time.Time{}
+	}
+	return t.heap[0].until
+}
+
+// end moves the time by which a permit's dispatch has ended.
+func (t *permits) end(p *permit, until time.Time) {
+	p.until = until
+	heap.Fix(&t.heap, p.index)
+}
+
+// permitHeap orders permits by their end.
+type permitHeap []*permit
+
+func (h permitHeap) Len() int { return len(h) }
+
+func (h permitHeap) Less(i, j int) bool {
+	if h[i].until.Equal(h[j].until) {
+		return h[i].id < h[j].id
+	}
+	return h[i].until.Before(h[j].until)
+}
+
+func (h permitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+
+func (h *permitHeap) Push(x any) {
+	p := x.(*permit)
+	p.index = len(*h)
+	*h = append(*h, p)
+}
+
+func (h *permitHeap) Pop() any {
+	last := len(*h) - 1
+	p := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return p
 }
--- a/core/bbtgrant/pool.go
+++ b/core/bbtgrant/pool.go
@@ -1,6 +1,7 @@
 package bbtgrant
 
 import (
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -8,11 +9,21 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+const (
+	sweepEvery   = 100 * time.Millisecond
+	heldBonus    = 0.25 // use that a held prefix outweighs
+	retryNoRoom  = time.Second
+	retryEvicted = time.Second
+)
+
 // pool is the waiting room and the owned endpoints of one pool.
 type pool struct {
 	queue     *bbtqueue.Queue
 	waiters   map[bbtqueue.Key]waiter
 	endpoints []*endpoint // sorted by name
+	lengths   lengths
+	sweep     time.Time // when waiting requests are next checked against their deadlines
+	wake      time.Time // when an endpoint has room for prompts again; zero if unknown
 }
 
 // waiter is a registration with the time it arrived.
@@ -21,6 +32,10 @@
 	arrived time.Time
 }
 
+func newPool(waiting int) *pool {
+	return &pool{queue: bbtqueue.New(waiting), waiters: make(map[bbtqueue.Key]waiter), lengths: newLengths()}
+}
+
 // push puts a registration into the waiting room.
 func (p *pool) push(now time.Time, from bbtfleet.HostID, r Registration) []Action {
 	it := bbtqueue.Item{
@@ -30,10 +45,16 @@
 		Deadline: now.Add(r.Left),
 		Cost:     float64(r.Prompt + r.Output),
 	}
+	if !p.reachable(now, r, it.Deadline) {
+		return []Action{shed(it.Key, bbtverdict.ReasonDeadline)}
+	}
 	evicted, full := p.queue.Push(it)
 	if full && evicted.Key == it.Key {
 		return []Action{shed(it.Key, bbtverdict.ReasonNoRoom)}
 	}
+	if p.queue.Len() == 1 {
+		p.sweep = now.Add(sweepEvery)
+	}
 	p.waiters[it.Key] = waiter{Registration: r, arrived: now}
 	if !full {
 		return nil
@@ -47,13 +68,118 @@
 	delete(p.waiters, k)
 }
 
-// forget drops what a host waited for.
-func (p *pool) forget(host bbtfleet.HostID) {
-	for _, it := range p.queue.Evict(func(it bbtqueue.Item) bool { return it.Key.Host == host }) {
+// drop takes out the waiting requests that match.
+func (p *pool) drop(match func(bbtqueue.Item) bool) []bbtqueue.Item {
+	out := p.queue.Evict(match)
+	for _, it := range out {
 		delete(p.waiters, it.Key)
 	}
+	return out
+}
+
+// expire sheds the waiting requests that can no longer meet their deadlines.
+func (p *pool) expire(now time.Time) []Action {
+	if p.queue.Len() == 0 || now.Before(p.sweep) {
+		return nil
+	}
+	p.sweep = now.Add(sweepEvery)
+	var out []Action
+	for _, it := range p.drop(func(it bbtqueue.Item) bool {
+		return !p.reachable(now, p.waiters[it.Key].Registration, it.Deadline)
+	}) {
+		out = append(out, shed(it.Key, bbtverdict.ReasonDeadline))
+	}
+	return out
+}
+
+// reachable reports whether an endpoint can finish the request in time if it
+// starts now.
+func (p *pool) reachable(now time.Time, r Registration, deadline time.Time) bool {
+	for _, e := range p.endpoints {
+		if p.inTime(now, e, r, deadline) {
+			return true
+		}
+	}
+	return false
+}
+
+// inTime reports whether the endpoint can finish the request in time if it
+// starts now.
+func (p *pool) inTime(now time.Time, e *endpoint, r Registration, deadline time.Time) bool {
+	output := p.lengths.expect(r.Output)
+	return !now.Add(e.pace.needs(float64(r.Prompt), output)).After(deadline)
+}
+
+// choose returns the endpoint for a request among those with room, or nil. A
+// held prefix outweighs a small difference in use.
+func (p *pool) choose(now time.Time, room []*endpoint, it bbtqueue.Item) *endpoint {
+	r := p.waiters[it.Key].Registration
+	var best *endpoint
+	var least float64
+	for _, e := range room {
+		if r.Alone && e.outstanding+e.foreign > 0 || slices.Contains(r.Exclude, e.record.ID()) || !p.inTime(now, e, r, it.Deadline) {
+			continue
+		}
+		use := e.use()
+		if e.held.hold(r.Prefix) {
+			use -= heldBonus
+		}
+		if best == nil || use < least {
+			best, least = e, use
+		}
+	}
+	return best
+}
+
+// withRoom returns the endpoints that can take a request now, and notes when
+// the next one can if that is known.
+func (p *pool) withRoom(now time.Time) []*endpoint {
+	var out []*endpoint
+	p.wake = time.Time{}
+	for _, e := range p.endpoints {
+		if e.room(now) <= 0 {
+			p.wake = earlier(p.wake, e.paused, now)
+			p.wake = earlier(p.wake, e.settled, now)
+			p.wake = earlier(p.wake, e.ramp.next(), now)
+			continue
+		}
+		e.pace.drain(now)
+		if e.pace.full() {
+			p.wake = earlier(p.wake, e.pace.roomAt(), now)
+			continue
+		}
+		out = append(out, e)
+	}
+	return out
+}
+
+// next returns when the pool wants a tick; the zero time if never.
+func (p *pool) next() time.Time {
+	if p.queue.Len() == 0 {
+		return time.Time{}
+	}
+	if p.wake.IsZero() || p.sweep.Before(p.wake) {
+		return p.sweep
+	}
+	return p.wake
 }
 
 func shed(k bbtqueue.Key, reason bbtverdict.Reason) Shed {
-	return Shed{To: k.Host, Request: RequestID(k.Request), Reason: reason}
+	s := Shed{To: k.Host, Request: RequestID(k.Request), Reason: reason}
+	switch reason {
+	case bbtverdict.ReasonNoRoom:
+		s.RetryAfter = retryNoRoom
+	case bbtverdict.ReasonEvicted:
+		s.RetryAfter = retryEvicted
+	}
+	return s
+}
+
+// earlier returns the earlier of two times, of which t counts only if it is
+// after now. Zero means none.
+func earlier(best, t, now time.Time) time.Time {
+	if !t.After(now) || !best.IsZero() && best.Before(t) {
+		return best
+	}
+	return t
 }
--- /dev/null
+++ b/core/bbtgrant/prefixes.go
@@ -0,0 +1,35 @@
+package bbtgrant
+
+import "slices"
+
+const heldPrefixes = 64
+
+// prefixes are the starts of prompts that an endpoint's cache is likely to
+// hold, the most recently used last.
+type prefixes struct {
+	recent []uint64
+}
+
+// use marks a prefix as held.
+func (p *prefixes) use(prefix uint64) {
+	if prefix == 0 {
+		return
+	}
+	if i := slices.Index(p.recent, prefix); i >= 0 {
+		p.recent = slices.Delete(p.recent, i, i+1)
+	}
+	p.recent = append(p.recent, prefix)
+	if len(p.recent) > heldPrefixes {
+		p.recent = slices.Delete(p.recent, 0, 1)
+	}
+}
+
+// drop marks a prefix as no longer held.
+func (p *prefixes) drop(prefix uint64) {
+	p.recent = slices.DeleteFunc(p.recent, func(x uint64) bool { return x == prefix })
+}
+
+// hold reports whether the cache is likely to hold the prefix.
+func (p *prefixes) hold(prefix uint64) bool {
+	return prefix != 0 && slices.Contains(p.recent, prefix)
+}
--- a/core/bbtgrant/wire.go
+++ b/core/bbtgrant/wire.go
@@ -37,8 +37,9 @@
 	Output int `cbor:"8,keyasint,omitempty"`
 
 	// Prefix identifies the start of the prompt that endpoints may hold in
-	// their caches; zero if none.
-	Prefix uint64 `cbor:"9,keyasint,omitempty"`
+	// their caches, and PrefixTokens its length; zero if none.
+	Prefix       uint64 `cbor:"9,keyasint,omitempty"`
+	PrefixTokens int    `cbor:"12,keyasint,omitempty"`
 
 	// Exclude names endpoints the request must not run on again.
 	Exclude []bbtfleet.EndpointID `cbor:"10,keyasint,omitempty"`
--- /dev/null
+++ b/core/bbtroute/ask.go
@@ -0,0 +1,102 @@
+package bbtroute
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+)
+
+// place ranks the owners for a request and registers it.
+func (e *Entry) place(now time.Time, j *job) []Action {
+	p := e.pools[j.Pool]
+	if p == nil {
+		return e.refuse(j, bbtverdict.ReasonUnknownPool)
+	}
+	key := j.Prefix
+	if key == 0 {
+		key = uint64(j.ID)
+	}
+	j.order = p.rank(key, j.Exclude)
+	return e.ask(now, j)
+}
+
+// ask registers the request with further owners until its width is reached,
+// and refuses it when every owner has shed it.
+func (e *Entry) ask(now time.Time, j *job) []Action {
+	var out []Action
+	for len(j.asked) < j.width {
+		h, ok := j.untried()
+		if !ok {
+			break
+		}
+		j.asked = append(j.asked, h)
+		out = append(out, e.to(h, e.registration(now, j)))
+	}
+	if len(j.asked) > 0 {
+		return out
+	}
+	reason := bbtverdict.ReasonNoRoom
+	if j.reason != "" {
+		reason = j.reason
+	}
+	return append(out, e.refuse(j, reason)...)
+}
+
+// widen registers a request that waits with more owners.
+func (e *Entry) widen(now time.Time, j *job) []Action {
+	j.width = e.width
+	j.widenAt = time.Time{}
+	return e.ask(now, j)
+}
+
+// again registers a request anew after a dispatch, within the budget.
+func (e *Entry) again(now time.Time, j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
+	if !e.budget.spend() {
+		return e.fail(j, v, r)
+	}
+	j.tried, j.late, j.reason, j.width = nil, 0, "", e.width
+	return e.place(now, j)
+}
+
+// withdraw takes all registrations of a request back.
+func (e *Entry) withdraw(j *job) []Action {
+	var out []Action
+	for _, h := range j.asked {
+		out = append(out, e.to(h, bbtgrant.Withdrawal{Request: j.ID}))
+	}
+	j.asked = nil
+	return out
+}
+
+// refuse ends a request that is not dispatched.
+func (e *Entry) refuse(j *job, reason bbtverdict.Reason) []Action {
+	verdict := bbtverdict.NotRun
+	if j.repeats > 0 {
+		verdict = bbtverdict.MayHaveRun
+	}
+	return e.fail(j, verdict, reason)
+}
+
+// fail ends a request without an answer.
+func (e *Entry) fail(j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
+	delete(e.jobs, j.ID)
+	return append(e.withdraw(j), Refuse{Request: j.ID, Err: bbtverdict.New(v, r)})
+}
+
+func (e *Entry) registration(now time.Time, j *job) bbtgrant.Registration {
+	return bbtgrant.Registration{
+		Request:      j.ID,
+		Pool:         j.Pool,
+		Account:      j.Account,
+		Tier:         j.Tier,
+		Sent:         now.Sub(e.start),
+		Left:         j.Deadline.Sub(now),
+		Prompt:       j.Prompt,
+		Output:       j.Output,
+		Prefix:       j.Prefix,
+		PrefixTokens: j.PrefixTokens,
+		Exclude:      j.Exclude,
+		Alone:        j.Alone,
+	}
+}
--- /dev/null
+++ b/core/bbtroute/budget.go
@@ -0,0 +1,24 @@
+package bbtroute
+
+const (
+	budgetShare = 0.1  // repeats earned by each request submitted
+	budgetMost  = 10.0 // repeats that may be saved up
+)
+
+// budget limits repeats to a share of the requests, so that failures do not
+// multiply the load.
+type budget struct {
+	left float64
+}
+
+// earn adds the share of one request.
+func (b *budget) earn() { b.left = min(budgetMost, b.left+budgetShare) }
+
+// spend takes one repeat and reports whether there was one.
+func (b *budget) spend() bool {
+	if b.left < 1 {
+		return false
+	}
+	b.left--
+	return true
+}
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -6,13 +6,19 @@
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
 )
 
 // job is the state of one request between Submit and its end.
 type job struct {
 	Request
+	order    []bbtfleet.HostID // owners in the order to try
 	asked    []bbtfleet.HostID // owners that hold a registration
-	refused  []bbtfleet.HostID // owners that shed the request
+	tried    []bbtfleet.HostID // owners that shed the request or died
+	late     int               // owners that can't meet the deadline
+	reason   bbtverdict.Reason // why the last owner shed the request
+	width    int               // owners to register with at once
+	widenAt  time.Time         // when to register with more owners; zero for never
 	dispatch *dispatch         // nil while the request waits
 	repeats  int               // dispatches after one of unknown outcome
 }
@@ -35,3 +41,27 @@
 	j.asked = slices.Delete(j.asked, i, i+1)
 	return true
 }
+
+// untried returns the first owner in order that was not asked yet.
+func (j *job) untried() (bbtfleet.HostID, bool) {
+	for _, h := range j.order {
+		if !slices.Contains(j.asked, h) && !slices.Contains(j.tried, h) {
+			return h, true
+		}
+	}
+	return "", false
+}
+
+// done describes the end of the dispatch to its owner.
+func (j *job) done(now time.Time, o Outcome) bbtgrant.Done {
+	d := bbtgrant.Done{
+		Permit:  j.dispatch.permit.ID,
+		Outcome: o.Kind,
+		Output:  o.Output,
+		Elapsed: now.Sub(j.dispatch.start),
+	}
+	if !j.dispatch.first.IsZero() {
+		d.FirstToken = j.dispatch.first.Sub(j.dispatch.start)
+	}
+	return d
+}
--- /dev/null
+++ b/core/bbtroute/timer.go
@@ -0,0 +1,62 @@
+package bbtroute
+
+import (
+	"container/heap"
+	"time"
+
+	"bluebelltray/core/bbtgrant"
+)
+
+// timers holds the times at which jobs want attention.
+type timers struct {
+	heap timerHeap
+}
+
+type timer struct {
+	at time.Time
+	id bbtgrant.RequestID
+}
+
+func (t *timers) set(at time.Time, id bbtgrant.RequestID) { heap.Push(&t.heap, timer{at: at, id: id}) }
+
+// due takes out a job whose time has come.
+func (t *timers) due(now time.Time) (bbtgrant.RequestID, bool) {
+	if len(t.heap) == 0 || now.Before(t.heap[0].at) {
+		return 0, false
+	}
+	return heap.Pop(&t.heap).(timer).id, true
+}
+
+// next returns the first time; zero if there is none. Times of jobs that
+// stale reports as settled are dropped.
+func (t *timers) next(stale func(bbtgrant.RequestID) bool) time.Time {
+	for len(t.heap) > 0 {
+		if !stale(t.heap[0].id) {
+			return t.heap[0].at
+		}
+		heap.Pop(&t.heap)
+	}
+	return time.Time{}
+}
+
+// timerHeap orders timers by time, then by request.
+type timerHeap []timer
+
+func (h timerHeap) Len() int { return len(h) }
+
+func (h timerHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].id < h[j].id
+	}
+	return h[i].at.Before(h[j].at)
+}
+
+func (h timerHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *timerHeap) Push(x any)   { *h = append(*h, x.(timer)) }
+
+func (h *timerHeap) Pop() any {
+	last := len(*h) - 1
+	t := (*h)[last]
+	*h = (*h)[:last]
+	return t
+}
--- a/internal/measure/ideal.go
+++ b/internal/measure/ideal.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtroute"
 	"bluebelltray/core/bbtverdict"
@@ -70,13 +71,17 @@
 
 // serve dispatches in order what an engine can finish in time.
 func (d *ideal) serve() {
+	room := d.withRoom()
 	d.waiting = slices.DeleteFunc(d.waiting, func(x idealWaiter) bool {
+		if len(room[x.request.Pool]) == 0 {
+			return false
+		}
 		if d.w.now.Add(fastest(x.actual)).After(x.request.Deadline) {
 			err := bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonDeadline)
 			x.host.refuse(bbtroute.Refuse{Request: x.request.ID, Err: err})
 			return true
 		}
-		e := d.best(x)
+		e := d.best(room[x.request.Pool], x)
 		if e == nil {
 			return false
 		}
@@ -85,21 +90,42 @@
 		d.onWay[e]++
 		d.w.after(d.w.spec.fleet.across*2, func() { d.onWay[e]-- })
 		x.host.dispatch(bbtroute.Dispatch{Request: x.request.ID, Endpoint: e.record.ID()})
+		if d.free(e) <= 0 {
+			room = d.withRoom()
+		}
 		return true
 	})
 }
 
+// free returns how many requests the engine can take.
+func (d *ideal) free(e *engine) int {
+	if e.dead || e.frozen || e.record.Zone() == d.w.out {
+		return 0
+	}
+	n := len(e.batch) + len(e.queue) + d.onWay[e]
+	if !e.cold {
+		return e.gen.slots - n
+	}
+	return min(e.gen.slots, e.bears()) - n - d.onWay[e]
+}
+
+func (d *ideal) withRoom() map[bbtfleet.PoolID][]*engine {
+	room := make(map[bbtfleet.PoolID][]*engine)
+	for _, e := range d.w.engines {
+		if d.free(e) > 0 {
+			room[e.record.Pool()] = append(room[e.record.Pool()], e)
+		}
+	}
+	return room
+}
+
 // best returns the engine that finishes the request first, and in time; nil
 // if none does.
-func (d *ideal) best(x idealWaiter) *engine {
+func (d *ideal) best(room []*engine, x idealWaiter) *engine {
 	var best *engine
 	var soonest time.Duration
-	for _, e := range d.w.engines {
-		n := len(e.batch) + len(e.queue) + d.onWay[e]
-		if e.dead || e.frozen || e.record.Zone() == d.w.out || e.record.Pool() != x.request.Pool || n >= min(e.gen.slots, e.bears()-d.onWay[e]) {
-			continue
-		}
-		t := e.finishes(x.actual, n)
+	for _, e := range room {
+		t := e.finishes(x.actual, len(e.batch)+len(e.queue)+d.onWay[e])
 		if (best == nil || t < soonest) && !d.w.now.Add(t).After(x.request.Deadline) {
 			best, soonest = e, t
 		}
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -33,7 +33,7 @@
 // tierScore sums up one tier; index zero sums up all.
 type tierScore struct {
 	offered, reachable, good, refused int
-	tokens                            int // generated, in good answers
+	tokens                            int // of prompts and answers, good answers that ended while requests were scored
 	prefill, useful                   int // prompt tokens read; of them for good answers
 	first, gap                        *hdrhistogram.Histogram
 	violations                        int
@@ -152,16 +152,18 @@
 		record(t.gap, gap.Microseconds())
 		if good {
 			t.good++
-			t.tokens += c.req.output
 			t.useful += c.read
 		}
 	})
+	if good && now.Before(s.w.scored) {
+		s.each(c.req, func(t *tierScore) { t.tokens += c.req.prompt + c.req.output })
+	}
 	c.req.state = answered
 }
 
 // sent counts the bytes of a message between two hosts.
 func (s *score) sent(from, to *host, m bbtgrant.Message) {
-	if from == to || !s.w.policy.owners {
+	if from == to || !s.w.policy.owners || s.w.now.After(s.w.scored) {
 		return
 	}
 	b, err := cbor.Marshal(m)
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -217,7 +217,7 @@
 	w.after(cacheLag, func() {
 		for _, h := range w.hosts {
 			if !h.dead && h.owner != nil && h.owner.Owns(e.record.ID()) {
-				h.owner.Cached(w.now, e.record.ID(), prefix)
+				h.grants(h.owner.Cached(w.now, bbtgrant.CacheEvent{Endpoint: e.record.ID(), Prefix: prefix}))
 			}
 		}
 	})
