--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -18,6 +18,11 @@
 	ReasonTicketRequired   Reason = "ticket-required"
 	ReasonTicketInvalid    Reason = "ticket-invalid"
 	ReasonTicketExpired    Reason = "ticket-expired"
+	ReasonTicketVoid       Reason = "ticket-void"
+	ReasonTicketMismatch   Reason = "ticket-of-another-request"
+	ReasonKeyUnsettled     Reason = "key-unsettled"
+	ReasonHomeUnreachable  Reason = "key-home-unreachable"
+	ReasonAnswerEvicted    Reason = "answer-evicted"
 	ReasonLedgerFull       Reason = "ledger-full"
 	ReasonExecutorGone     Reason = "executor-gone"
 	ReasonSuspect          Reason = "crashes-endpoints"
@@ -29,6 +34,7 @@
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
 	ReasonPermitExpired    Reason = "permit-expired"
+	ReasonHostUnreachable  Reason = "host-unreachable"
 )
 
 // reasons lists every reason.
@@ -56,6 +62,7 @@
 	ReasonAnswerIncomplete,
 	ReasonOverloaded,
 	ReasonPermitExpired,
+	ReasonHostUnreachable,
 }
 
 // Reasons returns every reason.
