measure, bbtgrant: scored after a warm-up, crashing requests suspected, one suspect an endpoint

Cause: the first seconds measured the ramp of a fleet that starts, and a request that crashes engines took ten of them down.

Ruled out: an endpoint that runs nothing but the suspect; no engine is idle at this load, so suspects would wait until their deadlines.

--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -22,7 +22,7 @@
 	settled     time.Time // until then a former owner's permits may be used
 	paused      time.Time // until then nothing is granted
 	outstanding int       // permits that may be running
-	alone       bool      // runs a request that must run alone
+	alone       int       // outstanding permits for requests that ask to run alone
 	foreign     int       // requests of other owners
 	limit       int       // requests it serves well at once
 	adjusted    time.Time // when the limit last moved
@@ -41,7 +41,7 @@
 // room returns how many more requests the endpoint can take now. While a
 // former owner's permits may still be used it leaves half of the room to them.
 func (e *endpoint) room(now time.Time) int {
-	if e.alone || now.Before(e.paused) {
+	if now.Before(e.paused) {
 		return 0
 	}
 	most := min(e.limit, e.ramp.cap(e.record.Slots()))
@@ -57,13 +57,13 @@
 	return float64(e.outstanding+e.foreign) / float64(max(1, e.limit))
 }
 
-// count changes the number of outstanding permits.
-func (e *endpoint) count(now time.Time, by int) {
+// count changes the number of outstanding permits for a request.
+func (e *endpoint) count(now time.Time, r Registration, by int) {
 	e.outstanding += by
-	e.history.note(now, e.outstanding)
-	if e.outstanding == 0 {
-		e.alone = false
+	if r.Alone {
+		e.alone += by
 	}
+	e.history.note(now, e.outstanding)
 }
 
 // report takes a load report in.
--- a/core/bbtgrant/grant.go
+++ b/core/bbtgrant/grant.go
@@ -54,8 +54,7 @@
 	w := p.waiters[it.Key]
 	delete(p.waiters, it.Key)
 	o.lastPermit++
-	e.count(now, 1)
-	e.alone = w.Alone
+	e.count(now, w.Registration, 1)
 	r := &permit{
 		id:       o.lastPermit,
 		host:     it.Key.Host,
@@ -87,7 +86,7 @@
 // release stops counting a permit and grants what it leaves room for.
 func (o *Owner) release(now time.Time, p *permit) []Action {
 	o.permits.remove(p)
-	p.endpoint.count(now, -1)
+	p.endpoint.count(now, p.reg, -1)
 	return o.grant(now, o.pools[p.reg.Pool])
 }
 
--- a/core/bbtgrant/pool.go
+++ b/core/bbtgrant/pool.go
@@ -117,7 +117,7 @@
 	var best *endpoint
 	var least float64
 	for _, e := range room {
-		if r.Alone && e.outstanding+e.foreign > 0 || slices.Contains(r.Exclude, e.record.ID()) || !p.inTime(now, e, r, it.Deadline) {
+		if r.Alone && e.alone > 0 || slices.Contains(r.Exclude, e.record.ID()) || !p.inTime(now, e, r, it.Deadline) {
 			continue
 		}
 		use := e.use()
--- a/core/bbtgrant/wire.go
+++ b/core/bbtgrant/wire.go
@@ -44,7 +44,8 @@
 	// Exclude names endpoints the request must not run on again.
 	Exclude []bbtfleet.EndpointID `cbor:"10,keyasint,omitempty"`
 
-	// Alone asks for an endpoint that runs nothing else.
+	// Alone asks for an endpoint that runs no other such request, so that the
+	// endpoint's death tells which request caused it.
 	Alone bool `cbor:"11,keyasint,omitempty"`
 }
 
--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -16,6 +16,7 @@
 const (
 	defaultWidth = 3
 	defaultHedge = 6 * time.Millisecond
+	mostLost     = 2 // endpoints that one request may be lost with
 )
 
 // Entry routes the requests of the callers connected to one host. Its methods
@@ -152,7 +153,8 @@
 	case bbtgrant.Refused:
 		return append([]Action{done}, e.again(now, j, bbtverdict.NotRun, bbtverdict.ReasonEndpointRefused)...)
 	case bbtgrant.Lost:
-		if j.repeats >= j.Repeats {
+		j.Alone = true
+		if j.repeats >= min(j.Repeats, mostLost-1) {
 			return append([]Action{done}, e.fail(j, bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointLost)...)
 		}
 		j.repeats++
--- a/core/bbtroute/request.go
+++ b/core/bbtroute/request.go
@@ -28,7 +28,7 @@
 	// outcome is unknown.
 	Repeats int
 
-	// Alone asks for an endpoint that runs nothing else.
+	// Alone asks for an endpoint that runs no other such request.
 	Alone bool
 
 	// Exclude names endpoints the request must not run on.
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -48,16 +48,17 @@
 
 // call is one dispatch as the engine sees it.
 type call struct {
-	req     *request
-	host    *host
-	id      bbtgrant.RequestID
-	engine  *engine
-	first   time.Time // when the host saw the first token
-	endless bool      // was in the engine when it turned cold
-	unread  int       // prompt tokens
-	read    int       // prompt tokens this dispatch has cost
-	made    int       // tokens generated
-	gone    bool
+	req         *request
+	host        *host
+	id          bbtgrant.RequestID
+	engine      *engine
+	incarnation bbtfleet.Incarnation // of the engine
+	first       time.Time            // when the host saw the first token
+	endless     bool                 // was in the engine when it turned cold
+	unread      int                  // prompt tokens
+	read        int                  // prompt tokens this dispatch has cost
+	made        int                  // tokens generated
+	gone        bool
 }
 
 // bears returns how many requests the engine can hold without falling over.
--- a/internal/measure/host.go
+++ b/internal/measure/host.go
@@ -7,24 +7,27 @@
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtverdict"
 )
 
 // host is an entry host: the core code of one process and a driver that
 // carries out its actions over a fake network.
 type host struct {
-	w        *world
-	id       bbtfleet.HostID
-	zone     bbtfleet.ZoneID
-	policy   bluebelltray.Policy
-	owner    *bbtgrant.Owner // nil under policies without owners
-	side     int             // of a partition
-	dead     bool
-	distrust map[bbtfleet.HostID]bool // hosts believed dead
-	requests map[bbtgrant.RequestID]*request
-	calls    map[bbtgrant.RequestID]*call
-	entryAt  time.Time // when the policy's next tick is scheduled
-	ownerAt  time.Time // when the owner's next tick is scheduled
+	w          *world
+	id         bbtfleet.HostID
+	zone       bbtfleet.ZoneID
+	policy     bluebelltray.Policy
+	owner      *bbtgrant.Owner // nil under policies without owners
+	side       int             // of a partition
+	dead       bool
+	distrust   map[bbtfleet.HostID]bool // hosts believed dead
+	requests   map[bbtgrant.RequestID]*request
+	calls      map[bbtgrant.RequestID]*call
+	suspicions bbtsuspect.Suspicions
+	tracker    *bbtsuspect.Tracker
+	entryAt    time.Time // when the policy's next tick is scheduled
+	ownerAt    time.Time // when the owner's next tick is scheduled
 }
 
 // loadReader is a policy that reads load reports itself.
@@ -38,10 +41,17 @@
 	w.attempts++
 	id := bbtgrant.RequestID(w.attempts)
 	h.requests[id] = r
+	r.dispatches, r.refusals = 0, 0
+	treatment := h.suspicions.Treatment(w.now, bbtsuspect.Fingerprint(r.id))
+	if h.owner != nil && treatment == bbtsuspect.Banned {
+		h.refuse(bbtroute.Refuse{Request: id, Err: bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonSuspect)})
+		return
+	}
 	h.entry(h.policy.Submit(w.now, bbtroute.Request{
 		ID: id, Pool: r.class.pool, Account: r.class.account, Tier: r.class.tier,
 		Deadline: r.deadline, Prompt: r.prompt, Output: r.limit, Prefix: r.prefix,
 		PrefixTokens: r.prefixTokens, Repeats: r.repeats,
+		Alone: treatment == bbtsuspect.Alone,
 	}))
 	w.after(r.deadline.Sub(w.now), func() {
 		if !h.dead && h.requests[id] != nil {
@@ -110,9 +120,10 @@
 	if r == nil {
 		return
 	}
-	c := &call{req: r, host: h, id: d.Request, engine: e}
+	c := &call{req: r, host: h, id: d.Request, engine: e, incarnation: e.incarnation}
 	h.calls[d.Request] = c
 	w.score.dispatched(w.now, r)
+	h.tracker.Begin(e.record.ID(), bbtsuspect.Fingerprint(r.id))
 	w.after(w.toEngine(h, e), func() {
 		switch {
 		case c.gone:
@@ -150,6 +161,11 @@
 	}
 	delete(h.calls, c.id)
 	h.w.score.ended(c, o, h.w.now)
+	if o == bbtgrant.Lost {
+		h.w.suspect(h, bbtsuspect.Crash{Endpoint: c.engine.record.ID(), Incarnation: c.incarnation})
+	} else {
+		h.tracker.End(c.engine.record.ID(), bbtsuspect.Fingerprint(c.req.id), false, o == bbtgrant.Finished)
+	}
 	if o == bbtgrant.Finished || o == bbtgrant.Cancelled {
 		delete(h.requests, c.id)
 	}
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -10,6 +10,7 @@
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -27,21 +28,22 @@
 // world is one run: hosts, engines, network and callers.
 type world struct {
 	sim
-	rng      *rand.Rand
-	spec     scenario
-	policy   policy
-	hosts    []*host
-	hostByID map[bbtfleet.HostID]*host
-	engines  []*engine
-	byID     map[bbtfleet.EndpointID]*engine
-	out      bbtfleet.ZoneID // zone taken out
-	ideal    *ideal          // nil under other policies
-	score    *score
-	traffic  *rand.Rand
-	drawn    int
-	attempts int
-	lag      time.Duration
-	scored   time.Time // requests that arrive later do not count
+	rng        *rand.Rand
+	spec       scenario
+	policy     policy
+	hosts      []*host
+	hostByID   map[bbtfleet.HostID]*host
+	engines    []*engine
+	byID       map[bbtfleet.EndpointID]*engine
+	out        bbtfleet.ZoneID // zone taken out
+	ideal      *ideal          // nil under other policies
+	score      *score
+	traffic    *rand.Rand
+	drawn      int
+	attempts   int
+	lag        time.Duration
+	scoredFrom time.Time // requests that arrive earlier do not count
+	scored     time.Time // nor those that arrive later
 }
 
 func newWorld(spec scenario, p policy, seed uint64) *world {
@@ -78,6 +80,7 @@
 		requests: make(map[bbtgrant.RequestID]*request),
 		calls:    make(map[bbtgrant.RequestID]*call),
 	}
+	h.tracker = bbtsuspect.NewTracker(&h.suspicions)
 	h.policy = w.policy.entry(w, h)
 	if w.policy.owners {
 		h.owner = bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(1 + w.now.UnixNano())))
@@ -246,6 +249,16 @@
 	})
 }
 
+// suspect lets all hosts know which requests were in flight when an engine
+// died.
+func (w *world) suspect(h *host, c bbtsuspect.Crash) {
+	for _, n := range h.tracker.Crashed(w.now, c) {
+		for _, peer := range w.hosts {
+			w.carry(h, peer.id, nil, func(peer *host) { peer.suspicions.Merge(w.now, n) })
+		}
+	}
+}
+
 // kill ends a host's process. Callers resend what may be repeated.
 func (w *world) kill(h *host) {
 	h.dead = true
