--- a/core/bbtgrant/wire.go
+++ b/core/bbtgrant/wire.go
@@ -37,13 +37,15 @@
 	Output int `cbor:"8,keyasint,omitempty"`
 
 	// Prefix identifies the start of the prompt that endpoints may hold in
-	// their caches; zero if none.
-	Prefix uint64 `cbor:"9,keyasint,omitempty"`
+	// their caches, and PrefixTokens its length; zero if none.
+	Prefix       uint64 `cbor:"9,keyasint,omitempty"`
+	PrefixTokens int    `cbor:"12,keyasint,omitempty"`
 
 	// Exclude names endpoints the request must not run on again.
 	Exclude []bbtfleet.EndpointID `cbor:"10,keyasint,omitempty"`
 
-	// Alone asks for an endpoint that runs nothing else.
+	// Alone asks for an endpoint that runs no other such request, so that the
+	// endpoint's death tells which request caused it.
 	Alone bool `cbor:"11,keyasint,omitempty"`
 }
 
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -33,7 +33,7 @@
 // tierScore sums up one tier; index zero sums up all.
 type tierScore struct {
 	offered, reachable, good, refused int
-	tokens                            int // generated, in good answers
+	tokens                            int // of prompts and answers, good answers that ended while requests are scored
 	prefill, useful                   int // prompt tokens read; of them for good answers
 	first, gap                        *hdrhistogram.Histogram
 	violations                        int
@@ -64,7 +64,7 @@
 
 // each applies f to the sums the request belongs to.
 func (s *score) each(r *request, f func(*tierScore)) {
-	if r.arrived.After(s.w.scored) {
+	if r.arrived.Before(s.w.scoredFrom) || r.arrived.After(s.w.scored) {
 		return
 	}
 	f(&s.tiers[0])
@@ -152,16 +152,19 @@
 		record(t.gap, gap.Microseconds())
 		if good {
 			t.good++
-			t.tokens += c.req.output
 			t.useful += c.read
 		}
 	})
+	if good && now.After(s.w.scoredFrom) && now.Before(s.w.scored) {
+		s.tiers[0].tokens += c.req.prompt + c.req.output
+		s.tiers[c.req.class.tier].tokens += c.req.prompt + c.req.output
+	}
 	c.req.state = answered
 }
 
 // sent counts the bytes of a message between two hosts.
 func (s *score) sent(from, to *host, m bbtgrant.Message) {
-	if from == to || !s.w.policy.owners {
+	if from == to || m == nil || s.w.now.Before(s.w.scoredFrom) || s.w.now.After(s.w.scored) {
 		return
 	}
 	b, err := cbor.Marshal(m)
