--- a/core/bbtini/read_test.go
+++ b/core/bbtini/read_test.go
@@ -86,7 +86,12 @@
 		keys += fmt.Sprintf("k%d = 1\n", i)
 	}
 	var r bbtini.Report
+	sections := 0
 	for range bbtini.Sections("f", []byte(keys+strings.Repeat("x\n", 2*bbtini.MaxProblems)), &r) {
+		sections++
+	}
+	if sections != 1 {
+		t.Errorf("got %d sections, want 1", sections)
 	}
 	err, ok := r.Err().(*bbtini.Error)
 	if !ok {
