core/bbtconfig: tables of broken parts and manifests, fuzzing

Found by the tables: a missing or wrong rate did not say that unlimited is allowed, and an unknown pool was called by a name it does not have.

--- a/cmd/bluebelltray/check_test.go
+++ b/cmd/bluebelltray/check_test.go
@@ -96,7 +96,7 @@
 		"manifest.ini: part is not the text that the manifest names; want digest = ",
 		`contracts.ini:2: tier: "0" is out of range; want a whole number from 1 to 8 (in [contract a])`,
 		`contracts.ini:5: deadline: "0s" is out of range; want a duration from 1ms to 24h`,
-		`contracts.ini:6: repeatable: "tracking" unknown pool; want a pool of this configuration`,
+		`contracts.ini:6: repeatable: "tracking" names no pool; want the pool of an [endpoint NAME]`,
 		`host.ini:2: id: "a b" is no name; want`,
 		"host.ini: section is missing; want the section [keys]",
 		"absent.ini: open absent.ini: no such file",
--- a/core/bbtconfig/bench_test.go
+++ b/core/bbtconfig/bench_test.go
@@ -15,10 +15,10 @@
 
 // targetFleet returns a configuration with n contracts.
 func targetFleet(n int) *bbtfleet.Configuration {
-	zones := []bbtfleet.Zone{bbtfleet.NewZone("zone-1", "north", false)}
+	zones := []bbtfleet.Zone{bbtfleet.NewZone("zone-1", "north", false), bbtfleet.NewZone("zone-2", "south", true)}
 	endpoints := []bbtfleet.Endpoint{
-		bbtfleet.NewEndpoint("tracking-1", "zone-1", bbtfleet.PlainService, "tracking", bbtfleet.WithAddr("10.0.0.1:80")),
-		bbtfleet.NewEndpoint("labels-1", "zone-1", bbtfleet.PlainService, "labels", bbtfleet.WithAddr("10.0.0.2:80")),
+		bbtfleet.NewEndpoint("tracking-1", "zone-1", bbtfleet.PlainService, "tracking", bbtfleet.WithAddr("10.0.0.1:80"), bbtfleet.WithFencing(true)),
+		bbtfleet.NewEndpoint("labels-1", "zone-1", bbtfleet.PlainService, "labels", bbtfleet.WithAddr("10.0.0.2:80"), bbtfleet.WithEndpointOut(true), bbtfleet.WithSlots(8)),
 	}
 	contracts := make([]bbtfleet.Contract, n)
 	for i := range contracts {
--- a/core/bbtconfig/builder.go
+++ b/core/bbtconfig/builder.go
@@ -1,8 +1,6 @@
 package bbtconfig
 
 import (
-	"fmt"
-
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtini"
 )
@@ -75,7 +73,15 @@
 	if names[u.name] || b.partial && len(names) == 0 {
 		return
 	}
-	b.report.Add(bbtini.NewProblem(u.at.file, u.at.line, "unknown "+u.of,
+	b.report.Add(bbtini.NewProblem(u.at.file, u.at.line, "names no "+u.of,
 		bbtini.WithSection(u.section), bbtini.WithKey(u.key), bbtini.WithValue(u.name),
-		bbtini.WithWant(fmt.Sprintf("a %s of this configuration", u.of))))
+		bbtini.WithWant(definitions(u.of))))
+}
+
+// definitions says where a kind of item is defined.
+func definitions(of string) string {
+	if of == poolKind {
+		return "the pool of an [endpoint NAME]"
+	}
+	return "the name of a [zone NAME]"
 }
--- /dev/null
+++ b/core/bbtconfig/config_test.go
@@ -0,0 +1,216 @@
+package bbtconfig_test
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebelltray/core/bbtconfig"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtini"
+)
+
+// problems returns the text of each problem of err.
+func problems(err error) []string {
+	var list *bbtini.Error
+	if !errors.As(err, &list) {
+		return nil
+	}
+	var out []string
+	for _, p := range list.Problems() {
+		out = append(out, p.String())
+	}
+	return out
+}
+
+// same reports whether got are the wanted texts, and shows both otherwise.
+func same(t *testing.T, got []string, want ...string) {
+	t.Helper()
+	if !slices.Equal(got, want) {
+		t.Errorf("got:\n%s\nwant:\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+const (
+	soundZone     = "[zone z]\nregion = north\n"
+	soundEndpoint = "[endpoint e]\nzone = z\nkind = plain-service\naddress = 10.0.0.1:80\npool = tracking\nslots = 4\n"
+	soundContract = "[contract a]\ntier = 1\nrequests = 5 requests/s\ntokens = unlimited\ndeadline = 2s\n"
+)
+
+func TestBrokenParts(t *testing.T) {
+	// Each text follows a sound zone, endpoint and contract, so that its first
+	// line is line 15.
+	tests := []struct {
+		name, text string
+		want       []string
+	}{
+		{"sound", "", nil},
+		{"unknown section", "[zones y]", []string{
+			"p:15: unknown section; want [zone NAME], [endpoint NAME] or [contract ACCOUNT] (in [zones y])"}},
+		{"no name", "[zone]\nregion = north", []string{
+			"p:15: unknown section; want [zone NAME], [endpoint NAME] or [contract ACCOUNT] (in [zone])"}},
+		{"unknown key", "[zone y]\nregion = north\nregon = n", []string{
+			"p:17: regon: unknown key; want one of region, state (in [zone y])"}},
+		{"same zone twice", "[zone z]\nregion = north", []string{
+			"p:15: section stands twice; want another name; the first is at p:1 (in [zone z])"}},
+		{"zone without region", "[zone y]\nstate = away", []string{
+			"p:15: region: key is missing; want 1 to 64 letters, digits, dots, dashes and underscores (in [zone y])",
+			`p:16: state: "away" is not a known word; want in or out (in [zone y])`}},
+		{"empty endpoint", "[endpoint f]", []string{
+			"p:15: zone: key is missing; want 1 to 64 letters, digits, dots, dashes and underscores (in [endpoint f])",
+			"p:15: kind: key is missing; want model-engine or plain-service (in [endpoint f])",
+			"p:15: pool: key is missing; want 1 to 64 letters, digits, dots, dashes and underscores (in [endpoint f])",
+			"p:15: slots: key is missing; want a whole number from 1 to 100000 (in [endpoint f])",
+			"p:15: address: key is missing; want an IP number and a port, such as 10.0.0.1:8000 (in [endpoint f])"}},
+		{"wrong endpoint", "[endpoint f]\nzone = y\nkind = model\naddress = [::ffff:10.0.0.1]:80\npool = a pool\nslots = 0\nfencing = true\nstate = on", []string{
+			`p:16: zone: "y" names no zone; want the name of a [zone NAME] (in [endpoint f])`,
+			`p:17: kind: "model" is not a known word; want model-engine or plain-service (in [endpoint f])`,
+			`p:18: address: "10.0.0.1:80" belongs to another endpoint; want another address; the first use is at p:6 (in [endpoint f])`,
+			`p:19: pool: "a pool" is no name; want 1 to 64 letters, digits, dots, dashes and underscores (in [endpoint f])`,
+			`p:20: slots: "0" is out of range; want a whole number from 1 to 100000 (in [endpoint f])`,
+			`p:21: fencing: "true" is not a known word; want yes or no (in [endpoint f])`,
+			`p:22: state: "on" is not a known word; want in or out (in [endpoint f])`}},
+		{"empty contract", "[contract b]", []string{
+			"p:15: tier: key is missing; want a whole number from 1 to 8 (in [contract b])",
+			"p:15: deadline: key is missing; want a duration from 1ms to 24h, such as 250ms or 2s (in [contract b])",
+			"p:15: requests: key is missing; want unlimited, or a positive rate such as 40 requests/s (in [contract b])",
+			"p:15: tokens: key is missing; want unlimited, or a positive rate such as 40 tokens/s (in [contract b])"}},
+		{"wrong contract", "[contract b]\ntier = 9\nrequests = -1 requests/s\nrequest-burst = 0.5 requests\ntokens = 4 requests/s\ntoken-burst = 0 tokens\ndeadline = 0s\nrepeatable = tracking 2, labels 1", []string{
+			`p:16: tier: "9" is out of range; want a whole number from 1 to 8 (in [contract b])`,
+			`p:17: requests: "-1 requests/s" is out of range; want unlimited, or a positive rate such as 40 requests/s (in [contract b])`,
+			`p:18: request-burst: "0.5 requests" admits nothing; want at least 1 requests (in [contract b])`,
+			`p:19: tokens: "4 requests/s" has not the unit tokens/s; want unlimited, or a positive rate such as 40 tokens/s (in [contract b])`,
+			`p:20: token-burst: "0 tokens" is out of range; want a positive amount such as 200 tokens (in [contract b])`,
+			`p:21: deadline: "0s" is out of range; want a duration from 1ms to 24h, such as 250ms or 2s (in [contract b])`,
+			`p:22: repeatable: "labels" names no pool; want the pool of an [endpoint NAME] (in [contract b])`}},
+		{"burst without limit", "[contract b]\ntier = 8\nrequests = unlimited\nrequest-burst = 5 requests\ntokens = unlimited\ndeadline = 1h", []string{
+			`p:18: request-burst: "5 requests" stands beside a rate without a limit; want no burst, or a rate for requests (in [contract b])`}},
+		{"no list", repeats("tracking"), []string{wrongRepeats("tracking", "is no list of pools and counts")}},
+		{"no count", repeats("tracking two"), []string{wrongRepeats("tracking two", "has a count outside 1 to 10")}},
+		{"count of zero", repeats("tracking 0"), []string{wrongRepeats("tracking 0", "has a count outside 1 to 10")}},
+		{"count too high", repeats("tracking 11"), []string{wrongRepeats("tracking 11", "has a count outside 1 to 10")}},
+		{"same pool twice", repeats("tracking 1, tracking 2"), []string{wrongRepeats("tracking 1, tracking 2", "names a pool twice")}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			text := soundZone + soundEndpoint + soundContract + "\n" + tt.text
+			_, err := bbtconfig.Check(bbtconfig.NewPart("p", []byte(text)))
+			same(t, problems(err), tt.want...)
+		})
+	}
+}
+
+// repeats returns a contract that is sound but for its repeatable pools.
+func repeats(list string) string {
+	return strings.Replace(soundContract, "[contract a]", "[contract b]", 1) + "repeatable = " + list
+}
+
+// wrongRepeats returns the problem of a list of repeatable pools.
+func wrongRepeats(list, reason string) string {
+	return fmt.Sprintf("p:20: repeatable: %q %s; want pools and how often a call may be repeated, "+
+		"such as tracking 2, labels 1 (in [contract b])", list, reason)
+}
+
+func TestBrokenManifests(t *testing.T) {
+	const sound = "[manifest]\nrevision = 1\n[part zones]\ndigest = 0123456789abcdef\nsize = 1KiB\n"
+	tests := []struct {
+		name, text string
+		want       []string
+	}{
+		{"empty", "", []string{
+			"manifest: has no revision; want a section [manifest] with the key revision",
+			"manifest: names no part; want a section [part KEY] for each part"}},
+		{"revision zero", strings.Replace(sound, "= 1\n", "= 0\n", 1), []string{
+			`manifest:2: revision: "0" is no revision; want a whole number from 1 that grows with each publication (in [manifest])`}},
+		{"head twice", sound + "[manifest]\nrevision = 2\n", []string{
+			"manifest:6: section stands twice; want one section [manifest], as on line 1 (in [manifest])"}},
+		{"part twice", sound + sound[strings.Index(sound, "[part"):], []string{
+			"manifest:6: part stands twice; want one section for each part; the first is on line 3 (in [part zones])"}},
+		{"itself a part", strings.Replace(sound, "zones", "manifest", 1), []string{
+			"manifest:3: part has the manifest's own key; want another key (in [part manifest])"}},
+		{"digest and size", strings.NewReplacer("cdef", "CDEF", "1KiB", "2MiB").Replace(sound), []string{
+			`manifest:4: digest: "0123456789abCDEF" is no digest; want the part's xxhash as 16 lower case hexadecimal digits (in [part zones])`,
+			`manifest:5: size: "2MiB" is out of range; want a size from 1B to 1000000B, such as 64KiB (in [part zones])`}},
+		{"short digest", strings.Replace(sound, "0123456789ab", "", 1), []string{
+			`manifest:4: digest: "cdef" is no digest; want the part's xxhash as 16 lower case hexadecimal digits (in [part zones])`}},
+		{"unknown section", sound + "[host]\n", []string{
+			"manifest:6: unknown section; want [manifest] or [part KEY] (in [host])"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			_, err := bbtconfig.ParseManifest([]byte(tt.text))
+			same(t, problems(err), tt.want...)
+		})
+	}
+}
+
+func TestPartsOfAnotherRevisionAreNoFault(t *testing.T) {
+	manifest, parts := bbtconfig.Publish(3, targetFleet(2))
+	m, err := bbtconfig.ParseManifest(manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	changed := slices.Clone(parts)
+	data := slices.Clone(parts[1].Data())
+	data[len(data)-1] = ' '
+	changed[1] = bbtconfig.NewPart(parts[1].Key(), data)
+	for _, given := range [][]bbtconfig.Part{parts[1:], changed} {
+		_, err := bbtconfig.Parse(m, given)
+		var mismatch *bbtconfig.MismatchError
+		if !errors.As(err, &mismatch) || mismatch.Missing() != (len(given) < len(parts)) {
+			t.Errorf("got %v, want a mismatch", err)
+		}
+	}
+}
+
+func TestPublishedConfigurationReadsBack(t *testing.T) {
+	want := targetFleet(3_000)
+	manifest, parts := bbtconfig.Publish(9, want)
+	m, err := bbtconfig.ParseManifest(manifest)
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Reverse(parts)
+	got, err := bbtconfig.Parse(m, parts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got.Version() != m.Version() || m.Revision() != 9 {
+		t.Errorf("got version %v, want %v of revision 9", got.Version(), m.Version())
+	}
+	if !reflect.DeepEqual(got.Zones(), want.Zones()) || !reflect.DeepEqual(got.Endpoints(), want.Endpoints()) {
+		t.Errorf("got %v %v, want %v %v", got.Zones(), got.Endpoints(), want.Zones(), want.Endpoints())
+	}
+	if !reflect.DeepEqual(got.Contracts(), want.Contracts()) {
+		t.Errorf("got other contracts than were published")
+	}
+}
+
+func TestChangedContractChangesOnePart(t *testing.T) {
+	before := targetFleet(3_000)
+	contracts := before.Contracts()
+	contracts[1_000] = bbtfleet.NewContract(contracts[1_000].Account(), 7, bbtfleet.WithDeadline(bbtconfig.MaxDeadline))
+	after := bbtfleet.NewConfiguration(bbtfleet.Version{}, bbtfleet.WithZones(before.Zones()...),
+		bbtfleet.WithEndpoints(before.Endpoints()...), bbtfleet.WithContracts(contracts...))
+	_, old := bbtconfig.Publish(1, before)
+	_, parts := bbtconfig.Publish(2, after)
+	if len(old) < 4 || len(parts) != len(old) {
+		t.Fatalf("got %d parts after %d, want the same number, several of contracts", len(parts), len(old))
+	}
+	changed := 0
+	for i, p := range parts {
+		if p.Key() != old[i].Key() {
+			t.Errorf("got part %s, want %s", p.Key(), old[i].Key())
+		}
+		if !bbtconfig.RefOf(old[i]).Matches(p.Data()) {
+			changed++
+		}
+	}
+	if changed != 1 {
+		t.Errorf("got %d changed parts, want 1", changed)
+	}
+}
--- a/core/bbtconfig/fields.go
+++ b/core/bbtconfig/fields.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtunit"
 )
@@ -60,7 +62,12 @@
 		if text == unlimited {
 			return 0, nil
 		}
-		return bbtunit.ParseRate(text, unit)
+		n, err := bbtunit.ParseRate(text, unit)
+		var refusal *bbtunit.Error
+		if errors.As(err, &refusal) {
+			return 0, bbtunit.Refuse(text, refusal.Reason(), unlimited+", or "+refusal.Want())
+		}
+		return n, err
 	}
 }
 
--- a/core/bbtconfig/sections.go
+++ b/core/bbtconfig/sections.go
@@ -47,7 +47,7 @@
 	}
 	first, taken := b.seen.addr(addr, place{file: s.File(), line: s.LineOf(key)})
 	if taken {
-		s.RefuseKey(key, "address belongs to another endpoint", bbtini.WithValue(addr),
+		s.RefuseKey(key, "belongs to another endpoint", bbtini.WithValue(addr),
 			bbtini.WithWant("another address; the first use is at "+first.String()))
 	}
 	return addr
@@ -77,7 +77,8 @@
 	burst, given := bbtini.Optional(s, burstKey, 0, burstParser(unit))
 	if ok && perSecond == 0 {
 		if given && burst > 0 {
-			s.RefuseKey(burstKey, "burst stands beside a rate without a limit", bbtini.WithWant("no burst, or a rate for "+rateKey))
+			s.RefuseKey(burstKey, "stands beside a rate without a limit",
+				bbtini.WithValue(bbtunit.FormatAmount(burst, unit)), bbtini.WithWant("no burst, or a rate for "+rateKey))
 		}
 		return bbtfleet.Rate{}
 	}
