bbtdemo: engines that have served before, deadlines their speed allows

Cause: every engine of the demo was cold, and a ramp of four seconds a step outlasts a demo of ten seconds; the owner learns from a load report how many requests the engine's run has finished.

--- a/internal/bbtdemo/account.go
+++ b/internal/bbtdemo/account.go
@@ -21,9 +21,9 @@
 // accounts are the demo's client accounts. Together they ask for more than
 // the engines can do, so that the tiers matter.
 var accounts = [...]account{
-	{id: "letters", tier: 1, callers: 6, tokens: 120, deadline: 3 * time.Second},
-	{id: "intake", tier: 2, callers: 12, tokens: 80, deadline: 2 * time.Second},
-	{id: "reports", tier: 3, callers: 24, tokens: 200, deadline: 3 * time.Second},
+	{id: "letters", tier: 1, callers: 6, tokens: 60, deadline: 4 * time.Second},
+	{id: "intake", tier: 2, callers: 12, tokens: 40, deadline: 3 * time.Second},
+	{id: "reports", tier: 3, callers: 24, tokens: 100, deadline: 6 * time.Second},
 }
 
 // contract returns the account's contract.
--- a/internal/bbtdemo/fleet.go
+++ b/internal/bbtdemo/fleet.go
@@ -25,8 +25,9 @@
 const (
 	hostCount       = 4
 	enginesPerSpeed = 2
-	fastToken       = 2 * time.Millisecond
-	slowToken       = 4 * time.Millisecond
+	fastToken       = 6 * time.Millisecond
+	slowToken       = 12 * time.Millisecond
+	servedBefore    = 1000
 	engineSlots     = 4
 	serviceDelay    = 5 * time.Millisecond
 	authorityLife   = time.Hour
@@ -96,7 +97,7 @@
 func (f *Fleet) startEndpoints() error {
 	for i, token := range [...]time.Duration{fastToken, slowToken} {
 		speed := bbtstandin.DefaultEngineSpeed()
-		speed.Slots, speed.BetweenTokens = engineSlots, token
+		speed.Slots, speed.BetweenTokens, speed.Served = engineSlots, token, servedBefore
 		for n := range enginesPerSpeed {
 			id := bbtfleet.EndpointID(fmt.Sprintf("engine-%d-%d", i, n))
 			err := f.endpoint(id, n, bbtfleet.ModelEngine, poolModel, bbtstandin.NewEngine(speed, true))
--- a/internal/bbtstandin/batch.go
+++ b/internal/bbtstandin/batch.go
@@ -27,9 +27,9 @@
 	count       EngineCounts
 }
 
-// newBatch returns an empty batch of a cold engine.
+// newBatch returns an empty batch of an engine that has served as speed says.
 func newBatch(speed EngineSpeed, incarnation uint64) *batch {
-	return &batch{speed: speed, incarnation: incarnation}
+	return &batch{speed: speed, incarnation: incarnation, answers: speed.Served}
 }
 
 // current returns the engine's incarnation.
@@ -154,6 +154,7 @@
 		Running:     b.running,
 		Waiting:     len(b.waiting),
 		Slots:       b.speed.Slots,
+		Served:      b.answers,
 	}
 }
 
--- a/internal/bbtstandin/engine.go
+++ b/internal/bbtstandin/engine.go
@@ -26,6 +26,7 @@
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
 	Slots       int    `json:"slots"`
+	Served      int    `json:"served"` // requests this incarnation has finished
 }
 
 // Engine stands in for a model engine: a batch of limited size, arrival order,
--- a/internal/bbtstandin/enginespeed.go
+++ b/internal/bbtstandin/enginespeed.go
@@ -7,6 +7,7 @@
 	Slots          int           // requests in the batch when warm
 	ColdSlots      int           // requests a cold engine bears
 	WarmAfter      int           // answers after which a cold engine is warm
+	Served         int           // answers of the first incarnation before the start
 	PrefillPerSec  float64       // prompt tokens a second
 	BetweenTokens  time.Duration // time between two tokens of one answer
 	LoadLag        time.Duration // age of the published load report
--- a/io/bbtdaemon/execute.go
+++ b/io/bbtdaemon/execute.go
@@ -119,7 +119,7 @@
 
 // pruneCalls forgets calls that the executor is done with.
 func (d *Daemon) pruneCalls() {
-	for id, c := range d.calls {
+	for id := range d.calls {
 		if !d.exec.Active(id) {
 			delete(d.calls, id)
 		}
--- a/io/bbtdaemon/poller.go
+++ b/io/bbtdaemon/poller.go
@@ -72,6 +72,7 @@
 		Incarnation: load.Incarnation(),
 		Running:     load.Running(),
 		Queued:      load.Waiting(),
+		Served:      load.Served(),
 		At:          asked,
 	}})
 }
--- a/io/bbthttp/load.go
+++ b/io/bbthttp/load.go
@@ -19,6 +19,7 @@
 	incarnation bbtfleet.Incarnation
 	running     int
 	waiting     int
+	served      int
 }
 
 // Incarnation returns the endpoint's incarnation.
@@ -30,11 +31,15 @@
 // Waiting returns how many requests wait in the endpoint's own queue.
 func (l Load) Waiting() int { return l.waiting }
 
+// Served returns how many requests this incarnation has finished.
+func (l Load) Served() int { return l.served }
+
 // loadRecord is the published form of a load report.
 type loadRecord struct {
 	Incarnation uint64 `json:"incarnation"`
 	Running     int    `json:"running"`
 	Waiting     int    `json:"waiting"`
+	Served      int    `json:"served"`
 }
 
 // LoadReader reads the load reports of endpoints.
@@ -66,7 +71,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&rec); err != nil {
 		return Load{}, errors.Wrapf(err, "load of %s", ep.ID())
 	}
-	return Load{bbtfleet.Incarnation(rec.Incarnation), rec.Running, rec.Waiting}, nil
+	return Load{bbtfleet.Incarnation(rec.Incarnation), rec.Running, rec.Waiting, rec.Served}, nil
 }
 
 // Close closes idle connections.
