--- /dev/null
+++ b/core/bbtini/block.go
@@ -0,0 +1,144 @@
+package bbtini
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"unicode/utf8"
+
+	"gopkg.in/ini.v1"
+)
+
+// block is the text of one section whose lines have been vetted, so that the
+// INI library reads each as one header or one key.
+type block struct {
+	file   string
+	header int // line of the header, zero before it is seen
+	text   []byte
+	keys   []keyLine
+}
+
+// maxKeys is the largest number of keys of one section.
+const maxKeys = 32
+
+// keyLine is where a key stands.
+type keyLine struct {
+	key  string
+	line int
+}
+
+// options makes the library read one value a line.
+var options = ini.LoadOptions{
+	IgnoreContinuation:       true,
+	SpaceBeforeInlineComment: true,
+	KeyValueDelimiters:       "=",
+}
+
+// add vets a trimmed line and keeps it if it is sound.
+func (b *block) add(line int, trimmed []byte, header bool, r *Report) {
+	if header {
+		b.header = line
+		b.keep(trimmed)
+		return
+	}
+	if isComment(trimmed) {
+		return
+	}
+	p, ok := b.vet(line, trimmed)
+	if !ok {
+		r.Add(p)
+		return
+	}
+	b.keep(trimmed)
+}
+
+// keep appends a sound line to the text that the library will read.
+func (b *block) keep(trimmed []byte) {
+	b.text = append(append(b.text, trimmed...), '\n')
+}
+
+// vet checks one key's line and notes where the key stands.
+func (b *block) vet(line int, trimmed []byte) (Problem, bool) {
+	if !utf8.Valid(trimmed) {
+		return NewProblem(b.file, line, "line is not UTF-8 text", WithWant("UTF-8")), false
+	}
+	name, value, found := bytes.Cut(trimmed, []byte{'='})
+	name, value = bytes.TrimSpace(name), bytes.TrimSpace(value)
+	switch {
+	case !found:
+		return NewProblem(b.file, line, "has no =", WithValue(string(trimmed)), WithWant("key = value")), false
+	case !isKebab(name):
+		return NewProblem(b.file, line, "is no key", WithValue(string(name)),
+			WithWant("lower case letters, digits and single dashes between them")), false
+	case b.header == 0:
+		return NewProblem(b.file, line, "key stands before the first section", WithKey(string(name)),
+			WithWant("a section header such as [manifest] above it")), false
+	case len(value) > 0 && (value[0] == '`' || bytes.HasPrefix(value, []byte(`"""`))):
+		return NewProblem(b.file, line, "value may span lines", WithKey(string(name)), WithValue(string(value)),
+			WithWant("the plain value on one line")), false
+	}
+	if first := b.lineOf(string(name)); first > 0 {
+		return NewProblem(b.file, line, "key stands twice in its section", WithKey(string(name)),
+			WithValue(string(value)),
+			WithWant(fmt.Sprintf("one line for each key, the first being line %d", first))), false
+	}
+	if len(b.keys) == maxKeys {
+		return NewProblem(b.file, line, "section has too many keys", WithKey(string(name)),
+			WithWant(fmt.Sprintf("at most %d keys", maxKeys))), false
+	}
+	b.keys = append(b.keys, keyLine{key: string(name), line: line})
+	return Problem{}, true
+}
+
+// lineOf returns the line of a key, or zero.
+func (b *block) lineOf(key string) int {
+	for _, k := range b.keys {
+		if k.key == key {
+			return k.line
+		}
+	}
+	return 0
+}
+
+// load reads the block with the INI library.
+func (b *block) load(r *Report) (*Section, bool) {
+	if p, ok := b.vetHeader(); !ok {
+		r.Add(p)
+		return nil, false
+	}
+	f, err := ini.LoadSources(options, b.text)
+	if err != nil {
+		r.Add(NewProblem(b.file, b.header, "cannot be read: "+err.Error(), WithWant(wantHeader)))
+		return nil, false
+	}
+	f.BlockMode = false
+	sections := f.Sections()
+	return newSection(b, sections[len(sections)-1], r), true
+}
+
+// wantHeader says what a header looks like.
+const wantHeader = "[kind name], the name of at most 64 letters, digits, dots, dashes and underscores"
+
+// vetHeader checks that the header has the form [kind name] or [kind].
+func (b *block) vetHeader() (Problem, bool) {
+	line, _ := cutLine(b.text)
+	end := bytes.LastIndexByte(line, ']')
+	if end < 0 {
+		return NewProblem(b.file, b.header, "has no closing bracket", WithValue(string(line)), WithWant(wantHeader)), false
+	}
+	kind, name := cutTitle(string(line[1:end]))
+	if !isKebab([]byte(kind)) || name != "" && !IsName(name) {
+		return NewProblem(b.file, b.header, "is no section name", WithValue(string(line[:end+1])), WithWant(wantHeader)), false
+	}
+	if !isComment(bytes.TrimSpace(line[end+1:])) {
+		return NewProblem(b.file, b.header, "header has text after its bracket", WithValue(string(line)),
+			WithWant("the header alone on its line")), false
+	}
+	return Problem{}, true
+}
+
+// cutTitle returns the kind and the name of a section.
+func cutTitle(title string) (kind, name string) {
+	kind, name, _ = strings.Cut(title, " ")
+	return kind, strings.TrimSpace(name)
+}
--- /dev/null
+++ b/core/bbtroute/entry.go
@@ -0,0 +1,218 @@
+// Package bbtroute is the entry role: it registers each request of a caller
+// with the owners of endpoints that can serve it, dispatches it under the
+// first permit, and decides on repeats and refusals.
+package bbtroute
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+)
+
+const (
+	defaultWidth = 3
+	defaultHedge = 6 * time.Millisecond
+	mostLost     = 2 // endpoints that one request may be lost with
+)
+
+// Entry routes the requests of the callers connected to one host. Its methods
+// take the current time and return what the driver must do, in order; it is
+// not safe for concurrent use.
+type Entry struct {
+	host   bbtfleet.HostID
+	start  time.Time
+	width  int
+	hedge  time.Duration
+	pools  map[bbtfleet.PoolID]*pool
+	jobs   map[bbtgrant.RequestID]*job
+	timers timers
+	budget budget
+}
+
+// New returns the entry role of a host whose clock starts at start.
+func New(host bbtfleet.HostID, start time.Time, opts ...Option) *Entry {
+	e := &Entry{
+		host:   host,
+		start:  start,
+		width:  defaultWidth,
+		hedge:  defaultHedge,
+		pools:  make(map[bbtfleet.PoolID]*pool),
+		jobs:   make(map[bbtgrant.RequestID]*job),
+		budget: budget{left: budgetMost},
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	return e
+}
+
+// View sets the endpoints in service and their owners. Requests that wait at
+// hosts that own nothing for them any more are registered elsewhere.
+func (e *Entry) View(now time.Time, targets []Target) []Action {
+	e.pools = poolsOf(targets)
+	var out []Action
+	for _, j := range e.waiting() {
+		p := e.pools[j.Pool]
+		for _, h := range slices.Clone(j.asked) {
+			if !p.has(h) {
+				j.drop(h)
+				out = append(out, e.to(h, bbtgrant.Withdrawal{Request: j.ID}))
+			}
+		}
+		j.tried, j.late = nil, 0
+		out = append(out, e.place(now, j)...)
+	}
+	return out
+}
+
+// Submit takes a request on.
+func (e *Entry) Submit(now time.Time, r Request) []Action {
+	j := &job{Request: r, width: 1}
+	e.jobs[r.ID] = j
+	e.budget.earn()
+	if !r.Deadline.IsZero() {
+		e.timers.set(r.Deadline, r.ID)
+	}
+	if e.width > 1 {
+		j.widenAt = now.Add(e.hedge)
+		e.timers.set(j.widenAt, r.ID)
+	}
+	return e.place(now, j)
+}
+
+// Granted dispatches the request under the permit, or hands the permit back if
+// it is late or the request needs none.
+func (e *Entry) Granted(now time.Time, from bbtfleet.HostID, p bbtgrant.Permit) []Action {
+	back := e.to(from, bbtgrant.Return{Permit: p.ID})
+	j := e.jobs[p.Request]
+	if j == nil || j.dispatch != nil {
+		return []Action{back}
+	}
+	held := j.drop(from)
+	if now.Sub(e.start) >= p.Expiry || !held || slices.Contains(j.Exclude, p.Endpoint) {
+		return append([]Action{back}, e.ask(now, j)...)
+	}
+	j.dispatch = &dispatch{owner: from, permit: p, start: now}
+	out := []Action{Dispatch{Request: j.ID, Endpoint: p.Endpoint, Permit: p}}
+	return append(out, e.withdraw(j)...)
+}
+
+// Shedded records that an owner no longer holds the registration.
+func (e *Entry) Shedded(now time.Time, from bbtfleet.HostID, s bbtgrant.Shed) []Action {
+	j := e.jobs[s.Request]
+	if j == nil || !j.drop(from) {
+		return nil
+	}
+	j.tried = append(j.tried, from)
+	j.reason = s.Reason
+	if s.Reason == bbtverdict.ReasonDeadline {
+		j.late++
+	}
+	if j.late >= e.width && len(j.asked) == 0 {
+		return e.refuse(j, bbtverdict.ReasonDeadline)
+	}
+	return e.ask(now, j)
+}
+
+// Cancel ends a request whose caller has left.
+func (e *Entry) Cancel(_ time.Time, id bbtgrant.RequestID) []Action {
+	j := e.jobs[id]
+	if j == nil {
+		return nil
+	}
+	if j.dispatch != nil {
+		return []Action{Stop{Request: id}}
+	}
+	delete(e.jobs, id)
+	return e.withdraw(j)
+}
+
+// FirstToken records that the first token of the answer arrived.
+func (e *Entry) FirstToken(now time.Time, id bbtgrant.RequestID) []Action {
+	if j := e.jobs[id]; j != nil && j.dispatch != nil && j.dispatch.first.IsZero() {
+		j.dispatch.first = now
+	}
+	return nil
+}
+
+// Finished records how the dispatch of a request ended and decides whether it
+// runs again.
+func (e *Entry) Finished(now time.Time, id bbtgrant.RequestID, o Outcome) []Action {
+	j := e.jobs[id]
+	if j == nil || j.dispatch == nil {
+		return nil
+	}
+	done := e.to(j.dispatch.owner, j.done(now, o))
+	j.Exclude = append(slices.Clone(j.Exclude), j.dispatch.permit.Endpoint)
+	j.dispatch = nil
+	switch o.Kind {
+	case bbtgrant.Refused:
+		return append([]Action{done}, e.again(now, j, bbtverdict.NotRun, bbtverdict.ReasonEndpointRefused)...)
+	case bbtgrant.Lost:
+		j.Alone = true
+		if j.repeats >= min(j.Repeats, mostLost-1) {
+			return append([]Action{done}, e.fail(j, bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointLost)...)
+		}
+		j.repeats++
+		return append([]Action{done}, e.again(now, j, bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointLost)...)
+	default:
+		delete(e.jobs, id)
+		return []Action{done}
+	}
+}
+
+// HostLost registers elsewhere what waited at a host that died.
+func (e *Entry) HostLost(now time.Time, host bbtfleet.HostID) []Action {
+	var out []Action
+	for _, j := range e.waiting() {
+		if j.drop(host) {
+			j.tried = append(j.tried, host)
+			out = append(out, e.ask(now, j)...)
+		}
+	}
+	return out
+}
+
+// Tick does what is due by time alone: requests that wait are registered with
+// more owners, and refused once their deadlines have passed.
+func (e *Entry) Tick(now time.Time) []Action {
+	var out []Action
+	for id, ok := e.timers.due(now); ok; id, ok = e.timers.due(now) {
+		j := e.jobs[id]
+		switch {
+		case j == nil || j.dispatch != nil:
+		case !j.Deadline.IsZero() && !now.Before(j.Deadline):
+			out = append(out, e.refuse(j, bbtverdict.ReasonDeadline)...)
+		case !j.widenAt.IsZero() && !now.Before(j.widenAt):
+			out = append(out, e.widen(now, j)...)
+		}
+	}
+	return out
+}
+
+// Next returns when Tick is wanted; the zero time if never.
+func (e *Entry) Next() time.Time {
+	return e.timers.next(func(id bbtgrant.RequestID) bool {
+		j := e.jobs[id]
+		return j == nil
+	})
+}
+
+// waiting returns the requests that wait, in order of their numbers.
+func (e *Entry) waiting() []*job {
+	var out []*job
+	for _, id := range slices.Sorted(maps.Keys(e.jobs)) {
+		if j := e.jobs[id]; j.dispatch == nil {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+func (e *Entry) to(h bbtfleet.HostID, m bbtgrant.Message) Action {
+	return Send{To: h, Message: m}
+}
