bbtprocess: calls that may not be repeated, under kills and freezes

Resends through every host, after the executor's death and restart, after a freeze, and under an idempotency key alone, counted at the plain service.

--- /dev/null
+++ b/internal/bbtprocess/once_test.go
@@ -0,0 +1,138 @@
+package bbtprocess_test
+
+import (
+	"context"
+	"net/http"
+	"syscall"
+	"testing"
+
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/internal/bbtprocess"
+	"bluebelltray/io/bbtcaller"
+)
+
+// invoice is a call that may not be repeated.
+func invoice(body string) bbtcaller.Call {
+	return bbtcaller.Call{
+		Method: http.MethodPost, Path: "/services/billing/invoice", ContentType: "text/plain",
+		Body: []byte(body), First: true,
+	}
+}
+
+// ticketed returns the call with the ticket that the host at addr issues.
+func ticketed(ctx context.Context, t *testing.T, addr string, call bbtcaller.Call) bbtcaller.Call {
+	t.Helper()
+	_, err := send(ctx, addr, call)
+	e := bbtverdict.As(err, "")
+	if got, want := e.Reason(), bbtverdict.ReasonTicketRequired; got != want {
+		t.Fatalf("got reason %q (%v), want %q", got, err, want)
+	}
+	if got, want := e.Verdict(), bbtverdict.NotRun; got != want {
+		t.Errorf("got verdict %v, want %v", got, want)
+	}
+	call.Ticket = e.Ticket()
+	return call
+}
+
+// runs returns how often the plain service ran a body.
+func runs(t *testing.T, f *bbtprocess.Fleet, body string) int {
+	t.Helper()
+	var all map[string]int
+	must(t, bbtprocess.Get(f.Process("service-0").Addr(), "/control/runs", &all))
+	return all[body]
+}
+
+func TestResendsThroughAllHostsRunOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	call := ticketed(ctx, t, f.Caller("host-0"), invoice("bill 1"))
+	for n := range hosts {
+		got, err := send(ctx, f.Caller(hostID(n)), call)
+		if err != nil {
+			t.Fatalf("host %d: %v", n, err)
+		}
+		if want := "done: bill 1"; got != want {
+			t.Errorf("host %d: got %q, want %q", n, got, want)
+		}
+		call.First = false
+	}
+	if got, want := runs(t, f, "bill 1"), 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
+
+func TestResendAfterTheExecutorDiedRunsNoSecondTime(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	call := ticketed(ctx, t, f.Caller("host-0"), invoice("bill 2"))
+	if _, err := send(ctx, f.Caller("host-0"), call); err != nil {
+		t.Fatal(err)
+	}
+	f.Process("host-0").Kill()
+	call.First = false
+	_, err := send(ctx, f.Caller("host-1"), call)
+	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
+		t.Errorf("got verdict %v (%v), want %v", got, err, want)
+	}
+	must(t, f.StartHost("host-0"))
+	must(t, bbtprocess.Await(ctx, "the host serves again", func() bool { return serves(f, 0) }))
+	_, err = send(ctx, f.Caller("host-0"), call)
+	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
+		t.Errorf("after the restart: got verdict %v (%v), want %v", got, err, want)
+	}
+	if got, want := runs(t, f, "bill 2"), 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
+
+func TestFrozenExecutorRunsACallAtMostOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	call := ticketed(ctx, t, f.Caller("host-0"), invoice("bill 3"))
+	must(t, f.Process("host-0").Signal(syscall.SIGSTOP))
+	_, err := send(ctx, f.Caller("host-1"), call)
+	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
+		t.Errorf("while frozen: got verdict %v (%v), want %v", got, err, want)
+	}
+	must(t, f.Process("host-0").Signal(syscall.SIGCONT))
+	must(t, bbtprocess.Await(ctx, "the host serves again", func() bool { return serves(f, 0) }))
+	call.First = false
+	for n := range hosts {
+		_, _ = send(ctx, f.Caller(hostID(n)), call) // the count below decides
+	}
+	if got, most := runs(t, f, "bill 3"), 1; got > most {
+		t.Errorf("got %d runs, want at most %d", got, most)
+	}
+}
+
+func TestKeyedResendsRunOnce(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	call := invoice("bill 4")
+	call.Key = "order-4"
+	must(t, bbtprocess.Await(ctx, "the key's home has settled", func() bool {
+		_, err := send(ctx, f.Caller("host-0"), call)
+		return bbtverdict.As(err, "").Reason() == bbtverdict.ReasonTicketRequired
+	}))
+	call = ticketed(ctx, t, f.Caller("host-0"), call)
+	if _, err := send(ctx, f.Caller("host-1"), call); err != nil {
+		t.Fatal(err)
+	}
+	call.Ticket, call.First = "", false
+	for n := range hosts {
+		got, err := send(ctx, f.Caller(hostID(n)), call)
+		if want := "done: bill 4"; err == nil && got != want {
+			t.Errorf("host %d: got %q, want %q", n, got, want)
+		}
+		if err != nil && bbtverdict.Of(err) == bbtverdict.NotRun {
+			t.Errorf("host %d: got %v, want no claim that it did not run", n, err)
+		}
+	}
+	if got, want := runs(t, f, "bill 4"), 1; got != want {
+		t.Errorf("got %d runs, want %d", got, want)
+	}
+}
