core/bbthome: a lost first ticket does not settle a key

Cause: a new home that had issued a ticket to a caller's first attempt took the key for known and issued another to an unmarked resend, although the former home, within its grace, may have issued one in between that was presented.

A confirmation by an older list passes the test; it would be sound, as whatever follows the older list was published within the lag.

--- a/core/bbthome/decision.go
+++ b/core/bbthome/decision.go
@@ -71,9 +71,10 @@
 	return Decision{permission: Allowed}
 }
 
-// knows reports whether this host issued a ticket of the key since it became
-// home, so that it knows of all later ones.
+// knows reports whether this host issued a ticket of the key after each former
+// home had stopped to issue any. An earlier one may have been followed by
+// another of a former home to a caller that lost the first.
 func (h *Home) knows(k Key, since time.Time) bool {
 	r, ok := h.records[k]
-	return ok && !r.issued.Before(since)
+	return ok && r.issued.Sub(since) >= h.Sole()
 }
--- a/core/bbthome/option.go
+++ b/core/bbthome/option.go
@@ -42,6 +42,9 @@
 // unmarked requests after another host learnt of its own role.
 func (h *Home) Overlap() time.Duration { return h.stretch(h.lag + h.lease) }
 
+// Sole returns the time after which no former home issues a ticket any more.
+func (h *Home) Sole() time.Duration { return h.stretch(h.lag + h.lease + h.grace) }
+
 // Settle returns the time after which a new home knows of each ticket whose
 // key may still be resent.
 func (h *Home) Settle() time.Duration { return h.stretch(h.lag + h.lease + h.grace + h.window) }
