core/bbtexec: a forwarded call does not claim to be the first

Cause: a peer's message that arrived twice, the second time at a later process of the executor's host, was refused not-run by that process although the former one had run it: the message carried the caller's statement that its ticket was presented for the first time. Only the entry host, which knows that it sent nothing, may use that statement now. PeerSeen lets it do so when it knows that the executor's process is gone.

internal/bbtworld drives four executors through random schedules of kills, restarts on the same address, pauses between check and write, cuts, host list changes, late list reads, reordered and doubled messages, lost answers and callers that lose their ticket; it counts each endpoint run and checks each verdict, also after callers gave up. Without faults, with rejections, with endpoint failures and with forgetful callers no may-have-run is given for a request that did not run.

--- a/core/bbtexec/event.go
+++ b/core/bbtexec/event.go
@@ -41,6 +41,13 @@
 	Message Message
 }
 
+// PeerSeen tells the incarnation of a peer's process, as learnt from it or from
+// other peers.
+type PeerSeen struct {
+	Host        bbtfleet.HostID
+	Incarnation bbtfleet.Incarnation
+}
+
 // PeerLost says that the connection to a peer ended or fell silent: no reply
 // to an earlier message will come.
 type PeerLost struct{ Host bbtfleet.HostID }
@@ -92,6 +99,7 @@
 func (Submit) event()        {}
 func (Received) event()      {}
 func (SendFailed) event()    {}
+func (PeerSeen) event()      {}
 func (PeerLost) event()      {}
 func (NotSent) event()       {}
 func (Finished) event()      {}
--- a/core/bbtexec/executor.go
+++ b/core/bbtexec/executor.go
@@ -24,6 +24,7 @@
 	calls    map[CallID]*call
 	attached map[uint64][]CallID // calls of a ledger entry; the first runs
 	pending  map[uint64]pending
+	peers    map[bbtfleet.HostID]bbtfleet.Incarnation // newest known process of each peer
 	nextID   uint64
 	draining bool
 	counts   Counts
@@ -39,6 +40,7 @@
 		calls:    make(map[CallID]*call),
 		attached: make(map[uint64][]CallID),
 		pending:  make(map[uint64]pending),
+		peers:    make(map[bbtfleet.HostID]bbtfleet.Incarnation),
 	}
 }
 
@@ -61,6 +63,8 @@
 		e.received(now, ev)
 	case SendFailed:
 		e.sendFailed(ev)
+	case PeerSeen:
+		e.peerSeen(ev)
 	case PeerLost:
 		e.peerLost(ev.Host)
 	case NotSent:
--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -10,6 +10,19 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+// peerSeen remembers the newest process of a peer and ends the calls that wait
+// for a former one.
+func (e *Executor) peerSeen(ev PeerSeen) {
+	if ev.Incarnation <= e.peers[ev.Host] {
+		return
+	}
+	known := e.peers[ev.Host] != 0
+	e.peers[ev.Host] = ev.Incarnation
+	if known {
+		e.peerLost(ev.Host)
+	}
+}
+
 // received takes a peer's message.
 func (e *Executor) received(now time.Time, ev Received) {
 	switch m := ev.Message.(type) {
@@ -35,7 +48,6 @@
 		account:     m.Account,
 		ticket:      m.Ticket,
 		fingerprint: m.Fingerprint,
-		first:       m.First,
 		origin:      origin{host: ev.From, request: m.Request},
 	}
 	e.calls[c.id] = c
--- a/core/bbtexec/submit.go
+++ b/core/bbtexec/submit.go
@@ -44,13 +44,16 @@
 		e.execute(now, c)
 		return
 	}
+	if t.Incarnation() < e.peers[t.Host()] {
+		e.refuse(c, notReached(c.first, bbtverdict.ReasonExecutorGone))
+		return
+	}
 	e.send(now, c, t.Host(), func(r Request) Message {
 		return ForwardRequest{
 			Request:     r,
 			Account:     c.account,
 			Ticket:      c.ticket,
 			Fingerprint: c.fingerprint,
-			First:       c.first,
 		}
 	})
 }
--- a/core/bbtexec/wire.go
+++ b/core/bbtexec/wire.go
@@ -36,13 +36,14 @@
 }
 
 // ForwardRequest passes a call to its executor. The call's path and body
-// travel beside it.
+// travel beside it. It does not say whether the caller presents its ticket for
+// the first time, as the message itself may arrive twice, the second time at a
+// later process of the host.
 type ForwardRequest struct {
 	Request     Request            `cbor:"1,keyasint"`
 	Account     bbtfleet.AccountID `cbor:"2,keyasint"`
 	Ticket      string             `cbor:"3,keyasint"`
 	Fingerprint uint64             `cbor:"4,keyasint"`
-	First       bool               `cbor:"5,keyasint,omitempty"`
 }
 
 // ForwardReply ends a forwarded call with an answer, if the status is not
--- /dev/null
+++ b/core/bbtexec/world_test.go
@@ -0,0 +1,35 @@
+package bbtexec_test
+
+import (
+	"flag"
+	"testing"
+
+	"bluebelltray/internal/bbtworld"
+	"pgregory.net/rapid"
+)
+
+// chooser draws the choices of a schedule, so that a failing one is shrunk.
+type chooser struct{ t *rapid.T }
+
+func (c chooser) IntN(n int) int { return rapid.IntRange(0, n-1).Draw(c.t, "choice") }
+
+// fix sets the seed and the number of schedules.
+func fix(t *testing.T, checks string) {
+	t.Helper()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": checks, "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestPromisesHoldUnderEveryFault(t *testing.T) {
+	fix(t, "100")
+	rapid.Check(t, func(rt *rapid.T) {
+		w := bbtworld.New(chooser{rt}, 4, bbtworld.All)
+		w.Run(400)
+		if err := w.Err(); err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
