--- /dev/null
+++ b/core/bbtexec/once_test.go
@@ -0,0 +1,248 @@
+package bbtexec_test
+
+import (
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtexec"
+	"bluebelltray/core/bbtledger"
+	"bluebelltray/core/bbtverdict"
+)
+
+func TestResendJoinsAndThenGetsTheAnswer(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	waiting := p.submit(p.a, bbtexec.Submit{Ticket: ticket})
+	joined := p.submit(p.b, bbtexec.Submit{Ticket: ticket})
+	d, _ := p.a.Dispatch(p.now, waiting)
+	late := p.submit(p.b, bbtexec.Submit{Ticket: ticket})
+	p.finish(waiting, d, "booked")
+	after := p.submit(p.b, bbtexec.Submit{Ticket: ticket})
+	for _, id := range []bbtexec.CallID{waiting, joined, late, after} {
+		p.wantAnswer(id, "booked")
+	}
+	p.wantRuns(1)
+}
+
+func TestResendByKeyJoinsThroughAnotherHost(t *testing.T) {
+	p := newPair(t)
+	asked := p.submit(p.b, bbtexec.Submit{Key: "booking-1", First: true})
+	p.wantRefusal(asked, bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+	id, d := p.start(p.refusals[asked].Ticket)
+	resent := p.submit(p.b, bbtexec.Submit{Key: "booking-1"})
+	p.finish(id, d, "booked")
+	p.wantAnswer(resent, "booked")
+	p.wantAnswer(p.submit(p.b, bbtexec.Submit{Key: "booking-1"}), "booked")
+	p.wantRuns(1)
+}
+
+func TestExecutorGone(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	p.start(ticket)
+	p.a = p.process("a", 2)
+	gone := bbtverdict.ReasonExecutorGone
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Ticket: ticket}), bbtverdict.MayHaveRun, gone)
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket}), bbtverdict.MayHaveRun, gone)
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket, First: true}), bbtverdict.NotRun, gone)
+	p.step(p.b, bbtexec.PeerSeen{Host: "a", Incarnation: 2})
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Ticket: ticket, First: true}), bbtverdict.NotRun, gone)
+	p.wantRuns(1)
+}
+
+func TestKeyAfterRestartOfItsHome(t *testing.T) {
+	p := newPair(t)
+	p.start(p.refusals[p.submit(p.a, bbtexec.Submit{Key: "booking-1"})].Ticket)
+	p.a = p.process("a", 2)
+	first := bbtexec.Submit{Key: "booking-2", First: true}
+	p.wantRefusal(p.submit(p.b, first), bbtverdict.NotRun, bbtverdict.ReasonViewStale)
+	p.pass(time.Minute)
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Key: "booking-1"}), bbtverdict.MayHaveRun, bbtverdict.ReasonKeyUnsettled)
+	p.wantRefusal(p.submit(p.b, first), bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+	p.pass(2 * time.Hour)
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Key: "booking-3"}), bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+	p.wantRuns(1)
+}
+
+func TestPeerNotReached(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	p.hold = true
+	for _, tc := range []struct {
+		submit bbtexec.Submit
+		sent   bool
+		want   bbtverdict.Verdict
+	}{
+		{bbtexec.Submit{Ticket: ticket, First: true}, false, bbtverdict.NotRun},
+		{bbtexec.Submit{Ticket: ticket}, false, bbtverdict.MayHaveRun},
+		{bbtexec.Submit{Ticket: ticket, First: true}, true, bbtverdict.MayHaveRun},
+		{bbtexec.Submit{Key: "k", First: true}, false, bbtverdict.NotRun},
+		{bbtexec.Submit{Key: "k", First: true}, true, bbtverdict.NotRun},
+		{bbtexec.Submit{Key: "k"}, true, bbtverdict.MayHaveRun},
+	} {
+		id := p.submit(p.b, tc.submit)
+		message := p.held[len(p.held)-1].Message
+		if tc.sent {
+			p.step(p.b, bbtexec.PeerLost{Host: "a"})
+		} else {
+			p.step(p.b, bbtexec.SendFailed{To: "a", Message: message})
+		}
+		if got := p.refusals[id].Err; got == nil || got.Verdict() != tc.want {
+			t.Errorf("%+v, sent %v: got %v, want %v", tc.submit, tc.sent, got, tc.want)
+		}
+	}
+}
+
+func TestRefusedRequestNeverRunsLater(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	id := p.submit(p.a, bbtexec.Submit{Ticket: ticket})
+	p.step(p.a, bbtexec.Rejected{Call: id, Reason: bbtverdict.ReasonNoRoom})
+	p.wantRefusal(id, bbtverdict.NotRun, bbtverdict.ReasonNoRoom)
+	delayed := p.submit(p.b, bbtexec.Submit{Ticket: ticket})
+	p.wantRefusal(delayed, bbtverdict.NotRun, bbtverdict.ReasonTicketVoid)
+	p.wantRuns(1)
+	if _, ok := p.a.Dispatch(p.now, id); ok {
+		t.Error("got a dispatch after the refusal")
+	}
+	p.start(p.refusals[delayed].Ticket)
+}
+
+func TestCallerGone(t *testing.T) {
+	p := newPair(t)
+	waits := p.ticket(p.a)
+	p.step(p.a, bbtexec.CallerGone{Call: p.submit(p.a, bbtexec.Submit{Ticket: waits})})
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Ticket: waits}), bbtverdict.NotRun, bbtverdict.ReasonTicketVoid)
+
+	runs := p.ticket(p.a)
+	id, d := p.start(runs)
+	p.step(p.a, bbtexec.CallerGone{Call: id})
+	p.finish(id, d, "booked")
+	p.wantAnswer(p.submit(p.b, bbtexec.Submit{Ticket: runs}), "booked")
+	if got := p.a.Calls() + p.b.Calls(); got != 0 {
+		t.Errorf("got %d calls left, want none", got)
+	}
+}
+
+func TestForwardedCallerGone(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	p.step(p.b, bbtexec.CallerGone{Call: p.submit(p.b, bbtexec.Submit{Ticket: ticket})})
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket}), bbtverdict.NotRun, bbtverdict.ReasonTicketVoid)
+}
+
+func TestAnswerOfAFormerDispatchIsDropped(t *testing.T) {
+	p := newPair(t)
+	id, former := p.start(p.ticket(p.a))
+	p.step(p.a, bbtexec.NotSent{Call: id, Dispatch: former})
+	d, ok := p.a.Dispatch(p.now, id)
+	if _, twice := p.a.Dispatch(p.now, id); !ok || twice {
+		t.Errorf("got %v and %v, want one dispatch", ok, twice)
+	}
+	p.finish(id, former, "crossed")
+	p.finish(id, d, "booked")
+	p.finish(id, d, "doubled")
+	p.wantAnswer(id, "booked")
+	if got := p.a.Counts().StaleAnswers(); got != 2 {
+		t.Errorf("got %d dropped answers, want 2", got)
+	}
+}
+
+func TestRepliesThatAreDropped(t *testing.T) {
+	p := newPair(t)
+	p.hold = true
+	id := p.submit(p.b, bbtexec.Submit{Ticket: p.ticket(p.a)})
+	request := p.held[0].Message.(bbtexec.ForwardRequest).Request
+	former := bbtexec.Request{Incarnation: request.Incarnation - 1, ID: request.ID}
+	crossed := bbtexec.ForwardReply{Request: request, Status: 200, Body: []byte("crossed")}
+	p.step(p.b, bbtexec.Received{From: "c", Message: crossed})
+	p.step(p.b, bbtexec.Received{From: "a", Message: bbtexec.ForwardReply{Request: former, Status: 200}})
+	if _, ok := p.answers[id]; ok {
+		t.Error("got an answer of another exchange")
+	}
+	whole := bbtexec.ForwardReply{Request: request, Status: 200, Body: []byte("booked")}
+	p.step(p.b, bbtexec.Received{From: "a", Message: whole})
+	p.step(p.b, bbtexec.Received{From: "a", Message: whole})
+	p.wantAnswer(id, "booked")
+	if got := p.b.Counts().StaleReplies(); got != 3 {
+		t.Errorf("got %d dropped replies, want 3", got)
+	}
+}
+
+func TestLateTicketIsNotHandedOut(t *testing.T) {
+	p := newPair(t)
+	p.hold = true
+	id := p.submit(p.b, bbtexec.Submit{Key: "booking-1", First: true})
+	p.deliver(p.held[0])
+	p.pass(bbtexec.IssueTimeout)
+	p.deliver(p.held[1])
+	p.wantRefusal(id, bbtverdict.NotRun, bbtverdict.ReasonHomeUnreachable)
+	if got := p.refusals[id].Ticket; got != "" {
+		t.Errorf("got ticket %q, want none", got)
+	}
+}
+
+func TestNothingIsDispatchedOnAnExpiredTicket(t *testing.T) {
+	p := newPair(t)
+	id := p.submit(p.a, bbtexec.Submit{Ticket: p.ticket(p.a)})
+	p.pass(bbtledger.DefaultLifetime)
+	if _, ok := p.a.Dispatch(p.now, id); ok {
+		t.Error("got a dispatch after a pause past the expiry")
+	}
+}
+
+func TestDrainingCutsNothing(t *testing.T) {
+	p := newPair(t)
+	outstanding, ticket := p.ticket(p.a), p.ticket(p.a)
+	id, d := p.start(ticket)
+	p.step(p.a, bbtexec.Drain{})
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{}), bbtverdict.NotRun, bbtverdict.ReasonDraining)
+	p.wantRefusal(p.submit(p.b, bbtexec.Submit{Key: "k"}), bbtverdict.NotRun, bbtverdict.ReasonDraining)
+	p.finish(id, d, "booked")
+	p.wantAnswer(p.submit(p.b, bbtexec.Submit{Ticket: ticket}), "booked")
+	p.start(outstanding)
+}
+
+func TestOutcomesStayWithTheirAccount(t *testing.T) {
+	p := newPair(t)
+	ticket := p.ticket(p.a)
+	id, d := p.start(ticket)
+	p.finish(id, d, "booked")
+	for _, e := range []*bbtexec.Executor{p.a, p.b} {
+		other := p.submit(e, bbtexec.Submit{Account: "another", Ticket: ticket})
+		p.wantRefusal(other, bbtverdict.NotRun, bbtverdict.ReasonTicketInvalid)
+	}
+	forged := ticket[:len(ticket)-2] + "AA"
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: forged}), bbtverdict.MayHaveRun, bbtverdict.ReasonTicketInvalid)
+	other := p.submit(p.a, bbtexec.Submit{Ticket: ticket, Fingerprint: 9})
+	p.wantRefusal(other, bbtverdict.NotRun, bbtverdict.ReasonTicketMismatch)
+}
+
+func TestBounds(t *testing.T) {
+	p := newPair(t, bbtledger.WithEntries(3), bbtledger.WithAccountEntries(2), bbtledger.WithAnswerBytes(5))
+	ticket := p.ticket(p.a)
+	p.ticket(p.a)
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{}), bbtverdict.NotRun, bbtverdict.ReasonLedgerFull)
+	p.submit(p.a, bbtexec.Submit{Account: "another"})
+	full := p.submit(p.a, bbtexec.Submit{Account: "third"})
+	p.wantRefusal(full, bbtverdict.NotRun, bbtverdict.ReasonLedgerFull)
+	id, d := p.start(ticket)
+	p.finish(id, d, "booked")
+	p.wantAnswer(id, "booked")
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket}), bbtverdict.Ran, bbtverdict.ReasonAnswerEvicted)
+	p.pass(bbtledger.DefaultLifetime + bbtledger.DefaultRetention)
+	p.ticket(p.a)
+	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket}), bbtverdict.MayHaveRun, bbtverdict.ReasonTicketExpired)
+}
+
+func TestRepeatableCallNeedsNoTicket(t *testing.T) {
+	p := newPair(t)
+	id := p.submit(p.a, bbtexec.Submit{Repeatable: true})
+	former, _ := p.a.Dispatch(p.now, id)
+	p.step(p.a, bbtexec.NotSent{Call: id, Dispatch: former})
+	d, _ := p.a.Dispatch(p.now, id)
+	p.finish(id, former, "crossed")
+	p.finish(id, d, "summary")
+	p.wantAnswer(id, "summary")
+	p.wantRuns(2)
+}
