--- /dev/null
+++ b/internal/limitrun/row.go
@@ -0,0 +1,51 @@
+package main
+
+import (
+	"fmt"
+	"strings"
+	"time"
+)
+
+// header names the columns of a row.
+var header = strings.Join([]string{
+	"scenario", "seed", "hosts", "accounts",
+	"offered-tokens", "ideal", "admitted", "admitted/ideal", "excess-s",
+	"wait-mean-ms", "messages/s", "B/s-mean", "B/s-max", "accounts-held-max",
+}, "\t")
+
+// row is one scenario's result.
+type row struct {
+	scenario string
+	seed     uint64
+	hosts    int
+	tally    tally
+	length   time.Duration
+	bytes    int // sent by the busiest host
+	held     int // accounts held by the fullest host
+}
+
+// String returns the row's columns, with rates a host.
+func (r row) String() string {
+	seconds := r.length.Seconds()
+	hosts := float64(r.hosts)
+	wait := time.Duration(0)
+	if r.tally.requests > 0 {
+		wait = r.tally.waited / time.Duration(r.tally.requests)
+	}
+	return fmt.Sprintf("%s\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%d",
+		r.scenario, r.seed, r.hosts, len(r.tally.accounts),
+		r.tally.offered, r.tally.ideal, r.tally.admitted, r.tally.admitted/r.tally.ideal, r.tally.excess(),
+		float64(wait.Microseconds())/1000, float64(r.tally.messages)/seconds/hosts,
+		float64(r.tally.bytes)/seconds/hosts, float64(r.bytes)/seconds, r.held)
+}
+
+// rowOf returns the result of a fleet that ran for a time.
+func rowOf(name string, seed uint64, f *fleet, length time.Duration) row {
+	r := row{scenario: name, seed: seed, hosts: len(f.ids), tally: f.tally, length: length}
+	for _, id := range f.ids {
+		h := f.hosts[id]
+		r.bytes = max(r.bytes, h.bytes)
+		r.held = max(r.held, h.limiter.Active())
+	}
+	return r
+}
