bbtgrant: expect the length that nine in ten answers keep to

Cause: under 2x overload the queue hands out requests close to their deadlines; expecting the length that 60 in 100 answers keep to, many of the second tier were cut off by their deadlines after their prefill.

--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -8,8 +8,8 @@
 
 const (
 	refusedPause = time.Second // after an endpoint refused a dispatch
-	gapGoal      = 0.036       // seconds between tokens
-	gapEasy      = 0.033       // seconds between tokens, below which the limit may rise
+	gapGoal      = 0.0385      // seconds between tokens
+	gapEasy      = 0.0365      // seconds between tokens, below which the limit may rise
 	limitFloor   = 0.6         // of the slots
 	limitStep    = 2 * time.Second
 )
--- a/core/bbtgrant/lengths.go
+++ b/core/bbtgrant/lengths.go
@@ -3,7 +3,7 @@
 const (
 	firstRatio   = 0.7  // of the tokens allowed, before anything is learnt
 	ratioStep    = 0.01 // by which the estimate moves
-	ratioPercent = 60   // of answers that are no longer than expected
+	ratioPercent = 90   // of answers that are no longer than expected
 )
 
 // lengths learns which part of the tokens a caller allows its answer takes, as
