bbtpeer: name the hosts whose connection was lost

Cause: a forward queued on a connection that ends gets no reply, and its caller waited until the member list declared the host dead. The executor now hears of it at once and answers may-have-run.

--- a/io/bbtdaemon/inbox.go
+++ b/io/bbtdaemon/inbox.go
@@ -1,6 +1,10 @@
 package bbtdaemon
 
 import (
+	"time"
+
+	"bluebelltray/core/bbtexec"
+	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbtpeer"
 )
@@ -20,12 +24,22 @@
 		case ex := <-in.node.Exchanges():
 			x := &opened{daemon: in.daemon, exchange: ex}
 			in.daemon.done.Go(x.run)
+		case host := <-in.node.Lost():
+			in.daemon.post(unreached{host})
 		case <-in.daemon.ctx.Done():
 			return
 		}
 	}
 }
 
+// unreached says that the connection to a host was lost.
+type unreached struct{ host bbtfleet.HostID }
+
+// apply ends the calls whose reply the connection would have brought.
+func (ev unreached) apply(d *Daemon, now time.Time) {
+	d.step(now, bbtexec.PeerLost{Host: ev.host})
+}
+
 // opened is an exchange that a peer opened.
 type opened struct {
 	daemon   *Daemon
--- a/io/bbtpeer/link.go
+++ b/io/bbtpeer/link.go
@@ -61,7 +61,8 @@
 	}
 	if err != nil {
 		l.node.recorder.Add("peer-messages-dropped", 1)
-		l.drop("write failed")
+		l.close("write failed")
+		l.node.report(l.host)
 		l.pause()
 		return
 	}
@@ -135,11 +136,22 @@
 	l.conn, l.stream = conn, nil
 }
 
-// drop closes the link's connection.
-func (l *link) drop(why string) {
+// release forgets conn, which has ended, and reports whether the link was
+// sending on it.
+func (l *link) release(conn *quic.Conn) bool {
 	l.mu.Lock()
-	conn := l.conn
+	defer l.mu.Unlock()
+	if l.conn != conn {
+		return false
+	}
 	l.conn, l.stream = nil, nil
+	return true
+}
+
+// close ends the link's connection, if there is one.
+func (l *link) close(why string) {
+	l.mu.Lock()
+	conn := l.conn
 	l.mu.Unlock()
 	if conn != nil {
 		conn.CloseWithError(0, why)
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -19,6 +19,7 @@
 	handshakeLimit = time.Second
 	redialPause    = 100 * time.Millisecond
 	maxExchanges   = 1024
+	lostQueue      = 1024
 	maxUniStreams  = 16
 	streamWindow   = 64 << 10
 	connWindow     = 256 << 10
@@ -42,6 +43,7 @@
 	listener  *quic.Listener
 	inbox     chan Inbound
 	exchanges chan *Exchange
+	lost      chan bbtfleet.HostID
 	ctx       context.Context
 	cancel    context.CancelFunc
 	done      sync.WaitGroup
@@ -84,6 +86,7 @@
 		listener:  l,
 		inbox:     make(chan Inbound, DefaultInbox),
 		exchanges: make(chan *Exchange, maxExchanges),
+		lost:      make(chan bbtfleet.HostID, lostQueue),
 		ctx:       ctx,
 		cancel:    cancel,
 		addrs:     make(map[bbtfleet.HostID]string),
@@ -112,6 +115,19 @@
 // Exchanges returns the channel of exchanges that peers opened.
 func (n *Node) Exchanges() <-chan *Exchange { return n.exchanges }
 
+// Lost returns the channel of hosts to which the connection was lost, so that
+// messages sent to them may not have arrived.
+func (n *Node) Lost() <-chan bbtfleet.HostID { return n.lost }
+
+// report says that the connection to a host was lost.
+func (n *Node) report(host bbtfleet.HostID) {
+	n.recorder.Add("peer-connections-lost", 1)
+	select {
+	case n.lost <- host:
+	case <-n.ctx.Done():
+	}
+}
+
 // SetHosts sets the peers' addresses.
 func (n *Node) SetHosts(hosts []bbtfleet.Host) {
 	n.mu.Lock()
@@ -140,7 +156,7 @@
 	l := n.links[host]
 	n.mu.Unlock()
 	if l != nil {
-		l.drop("reset")
+		l.close("reset")
 	}
 }
 
@@ -162,15 +178,26 @@
 	return newExchange(to, stream, n.codec), nil
 }
 
-// Close closes all connections and waits for the node's goroutines.
+// Close closes all connections, which tells the peers, and waits for the node's
+// goroutines.
 func (n *Node) Close() error {
 	n.cancel()
+	n.closeLinks()
 	err := errors.CombineErrors(n.listener.Close(), n.transport.Close())
 	err = errors.CombineErrors(err, n.transport.Conn.Close())
 	n.done.Wait()
 	return err
 }
 
+// closeLinks closes the connections of all links.
+func (n *Node) closeLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, l := range n.links {
+		l.close("closed")
+	}
+}
+
 // link returns the link to a host, if the host is known.
 func (n *Node) link(to bbtfleet.HostID) (*link, bool) {
 	n.mu.Lock()
--- a/io/bbtpeer/node_test.go
+++ b/io/bbtpeer/node_test.go
@@ -166,3 +166,16 @@
 		}
 	}
 }
+
+func TestLostNamesAHostWhoseConnectionEnded(t *testing.T) {
+	ca := authority(t)
+	a, _ := listen(t, ca, "a", "127.0.0.1:0", newCounts())
+	b, hostB := listen(t, ca, "b", "127.0.0.1:0", newCounts())
+	a.SetHosts([]bbtfleet.Host{hostB})
+	a.Send("b", note{"hello"})
+	<-b.Inbox()
+	b.Close()
+	if got, want := <-a.Lost(), bbtfleet.HostID("b"); got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- a/io/bbtpeer/session.go
+++ b/io/bbtpeer/session.go
@@ -17,10 +17,13 @@
 	for {
 		stream, err := s.conn.AcceptUniStream(s.node.ctx)
 		if err != nil {
-			return
+			break
 		}
 		s.read(stream)
 	}
+	if l, ok := s.node.link(s.host); ok && l.release(s.conn) {
+		s.node.report(s.host)
+	}
 }
 
 // read passes a stream's messages on. An unreadable message ends the
