bbtowner: owners chosen by a majority of the endpoint's electors

Rank alone can't keep two owners apart under a partition: both sides find the hosts before them silent. Each endpoint now has three electors, and one of them owns it while a majority has promised not to support another. Claimants is renamed to Electors; Map.Fence is replaced by Elector.Fence, which carries an epoch so that a host of better rank that returns is not outranked.

--- a/core/bbtowner/fence.go
+++ b/core/bbtowner/fence.go
@@ -3,51 +3,53 @@
 import (
 	"cmp"
 
-	"bluebelltray/core/bbtfleet"
 	"github.com/cockroachdb/errors"
 )
 
 // Bits of a fencing number, from the highest.
 const (
-	configBits = 28 // configuration revision
-	listBits   = 28 // host list revision
-	rankBits   = 8  // rank in hash order
+	configBits = 22 // configuration revision
+	listBits   = 22 // host list revision
+	epochBits  = 16 // changes of the owner under these revisions
+	rankBits   = 4  // rank in hash order
 )
 
-// ErrFenceRange says that a revision does not fit a fencing number.
-var ErrFenceRange = errors.New("revision does not fit a fencing number")
+// ErrFenceRange says that a part of a fence is too large for a fencing number.
+var ErrFenceRange = errors.New("fence does not fit a fencing number")
 
-// Fence orders the owners of an endpoint: by published configuration revision,
-// then host list revision, then rank. No two hosts have an equal fence for one
-// endpoint, and nothing shared is written to make one.
+// Fence orders the successive owners of an endpoint: by published revisions,
+// then by the epoch that electors agree on, then by rank in hash order.
 type Fence struct {
-	config bbtfleet.Revision
-	list   bbtfleet.Revision
-	rank   int
+	view  View
+	epoch uint32
+	rank  int
 }
 
-// Fence returns the fence of the host for orders to the endpoint and whether
-// the host has a rank there.
-func (m *Map) Fence(id bbtfleet.EndpointID, host bbtfleet.HostID) (Fence, bool) {
-	rank, ok := m.Rank(id, host)
-	return Fence{config: m.config.Version().Revision(), list: m.list, rank: rank}, ok
-}
+// NewFence returns the fence of the owner of the given rank.
+func NewFence(v View, epoch uint32, rank int) Fence { return Fence{view: v, epoch: epoch, rank: rank} }
+
+// Epoch returns the number of the ownership.
+func (f Fence) Epoch() uint32 { return f.epoch }
 
 // Compare returns a number below, equal to or above zero as f comes before,
 // with or after other.
 func (f Fence) Compare(other Fence) int {
 	return cmp.Or(
-		cmp.Compare(f.config, other.config),
-		cmp.Compare(f.list, other.list),
+		cmp.Compare(f.view.Config, other.view.Config),
+		cmp.Compare(f.view.List, other.view.List),
+		cmp.Compare(f.epoch, other.epoch),
 		cmp.Compare(f.rank, other.rank),
 	)
 }
 
-// Number returns the fence as one number of the same order. It returns
-// ErrFenceRange if a revision is too large for it.
+// Number returns the fence as one number of the same order, which is never
+// zero. It returns ErrFenceRange if a part is too large.
 func (f Fence) Number() (uint64, error) {
-	if f.config >= 1<<configBits || f.list >= 1<<listBits || f.rank >= 1<<rankBits {
+	if f.view.Config >= 1<<configBits || f.view.List >= 1<<listBits || f.epoch >= 1<<epochBits || f.rank >= 1<<rankBits-1 {
 		return 0, ErrFenceRange
 	}
-	return uint64(f.config)<<(listBits+rankBits) | uint64(f.list)<<rankBits | uint64(f.rank), nil
+	n := f.view.Config
+	n = n<<listBits | f.view.List
+	n = n<<epochBits | uint64(f.epoch)
+	return n<<rankBits | uint64(f.rank+1), nil
 }
--- a/core/bbtowner/map.go
+++ b/core/bbtowner/map.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Claimants is the number of hosts that may own an endpoint under one host
-// list: the owner and its successors.
-const Claimants = 3
+// Electors is the number of hosts that may own an endpoint under one view: the
+// owner and its successors.
+const Electors = 3
 
 // accountHomes is the number of home hosts of a client account.
 const accountHomes = 2
@@ -24,6 +24,7 @@
 	config *bbtfleet.Configuration
 	list   bbtfleet.Revision
 	hosts  []bucket
+	known  map[bbtfleet.HostID]bool // live and leaving hosts
 	ranks  map[bbtfleet.EndpointID][]bbtfleet.HostID
 }
 
@@ -33,8 +34,14 @@
 	if cfg == nil {
 		cfg = bbtfleet.NewConfiguration(bbtfleet.Version{})
 	}
-	m := &Map{config: cfg, list: list.Revision(), ranks: make(map[bbtfleet.EndpointID][]bbtfleet.HostID)}
+	m := &Map{
+		config: cfg,
+		list:   list.Revision(),
+		known:  make(map[bbtfleet.HostID]bool, len(list.Hosts())),
+		ranks:  make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
+	}
 	for _, h := range list.Hosts() {
+		m.known[h.ID()] = true
 		if h.State() == bbtfleet.HostLive {
 			m.hosts = append(m.hosts, bucket{host: h, hash: xxhash.Sum64String(string(h.ID()))})
 		}
@@ -59,6 +66,17 @@
 	return ranks[0], true
 }
 
+// Likely returns the first host in the endpoint's hash order that is up, which
+// most likely owns it now, and whether there is one.
+func (m *Map) Likely(id bbtfleet.EndpointID, up func(bbtfleet.HostID) bool) (bbtfleet.HostID, bool) {
+	for _, host := range m.Ranks(id) {
+		if up(host) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
 // Successors returns the hosts that own the endpoint when those before them
 // do not, in order. They must not be changed.
 func (m *Map) Successors(id bbtfleet.EndpointID) []bbtfleet.HostID {
@@ -126,7 +144,7 @@
 // rank computes the ranks of an endpoint in the zone.
 func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
 	key := endpointHash(id)
-	best := newRanking(Claimants)
+	best := newRanking(Electors)
 	for _, b := range m.hosts {
 		best.offer(b, b.near(key, zone))
 	}
@@ -149,12 +167,21 @@
 	if len(other.entries) == 0 {
 		return
 	}
-	if len(r.entries) == Claimants {
-		r.entries = r.entries[:Claimants-1]
+	if len(r.entries) == Electors {
+		r.entries = r.entries[:Electors-1]
 	}
 	r.entries = append(r.entries, other.entries[0])
 }
 
+// listed reports whether the host is in the host list, live or leaving.
+func (m *Map) listed(id bbtfleet.HostID) bool { return m.known[id] }
+
+// has reports whether the configuration has the endpoint.
+func (m *Map) has(id bbtfleet.EndpointID) bool {
+	_, ok := m.config.Endpoint(id)
+	return ok
+}
+
 // zoneOut reports whether operators have taken the zone out.
 func (m *Map) zoneOut(id bbtfleet.ZoneID) bool {
 	z, _ := m.config.Zone(id)
