--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -18,6 +18,11 @@
 	ReasonTicketRequired   Reason = "ticket-required"
 	ReasonTicketInvalid    Reason = "ticket-invalid"
 	ReasonTicketExpired    Reason = "ticket-expired"
+	ReasonTicketVoid       Reason = "ticket-void"
+	ReasonTicketMismatch   Reason = "ticket-of-another-request"
+	ReasonKeyUnsettled     Reason = "key-unsettled"
+	ReasonHomeUnreachable  Reason = "key-home-unreachable"
+	ReasonAnswerEvicted    Reason = "answer-evicted"
 	ReasonLedgerFull       Reason = "ledger-full"
 	ReasonExecutorGone     Reason = "executor-gone"
 	ReasonSuspect          Reason = "crashes-endpoints"
@@ -28,4 +33,35 @@
 	ReasonEndpointSilent   Reason = "endpoint-silent"
 	ReasonAnswerIncomplete Reason = "answer-incomplete"
 	ReasonOverloaded       Reason = "overloaded"
+	ReasonPermitExpired    Reason = "permit-expired"
 )
+
+// reasons lists every reason.
+var reasons = [...]Reason{
+	ReasonBadRequest,
+	ReasonUnknownAccount,
+	ReasonUnknownPool,
+	ReasonRequestRate,
+	ReasonTokenRate,
+	ReasonNoRoom,
+	ReasonEvicted,
+	ReasonDeadline,
+	ReasonCancelled,
+	ReasonTicketRequired,
+	ReasonTicketInvalid,
+	ReasonTicketExpired,
+	ReasonLedgerFull,
+	ReasonExecutorGone,
+	ReasonSuspect,
+	ReasonViewStale,
+	ReasonDraining,
+	ReasonEndpointRefused,
+	ReasonEndpointLost,
+	ReasonEndpointSilent,
+	ReasonAnswerIncomplete,
+	ReasonOverloaded,
+	ReasonPermitExpired,
+}
+
+// Reasons returns every reason.
+func Reasons() []Reason { return reasons[:] }
