core, fleetrun: control logic of a fleet in virtual time, and what its first runs showed

fleetrun drives Keeper, Member and Elector of many hosts against a counting fake of the platform and fails on a reversion, two owners, a slow change or a breach of the byte bound. Its first runs of 400 hosts led to these changes: - a start took 154 kB/s a host: three peers each sent the whole configuration. Peers are now asked briefly first, and parts travel compressed. - a freed elector waited for the next round before it asked: it asks at once. - a successor that tried first after a start held a vote for 5 s: it lets the better rank go first and releases votes that it gives up. - a suspicion is told to the suspect alone; old news of a death no longer counts against a process that is not known. Member.SetPartners and Contact are gone; the Elector's own questions do their work. Manifest.Data gives a Parse function the bytes of the manifest it is called for, which need not be the one that was parsed last.

--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -11,12 +11,11 @@
 
 // Periods of the Member.
 const (
-	TickInterval    = 200 * time.Millisecond  // longest time between calls of Tick
-	ProbeInterval   = time.Second             // between probes of one neighbour after another
-	PartnerInterval = 1500 * time.Millisecond // between probes of one partner
-	AckTimeout      = 500 * time.Millisecond  // from a Ping to asking others to probe, from there to suspicion
-	SuspectTimeout  = 2 * time.Second         // from suspicion to Dead
-	PauseGap        = time.Second             // gap between ticks that is taken for a pause
+	TickInterval   = 200 * time.Millisecond // longest time between calls of Tick
+	ProbeInterval  = time.Second            // between probes of one neighbour after another
+	AckTimeout     = 500 * time.Millisecond // from a Ping to asking others to probe, from there to suspicion
+	SuspectTimeout = 2 * time.Second        // from suspicion to Dead
+	PauseGap       = time.Second            // gap between ticks that is taken for a pause
 )
 
 const (
@@ -37,18 +36,16 @@
 	ring       ring
 	peers      map[bbtfleet.HostID]*peer
 	neighbours []bbtfleet.HostID
-	partners   []bbtfleet.HostID
 
-	probes  probes
-	queue   queue
-	eager   bool // a change has to be told at once
-	rounds  int  // probes of neighbours so far
-	next    int  // place in neighbours of the next probe
-	partner int  // place in partners of the next probe
+	probes probes
+	queue  queue
+	eager  bool      // a change has to be told at once
+	told   time.Time // when changes were last told at once
+	rounds int       // probes of neighbours so far
+	next   int       // place in neighbours of the next probe
 
-	lastTick    time.Time
-	nextProbe   time.Time
-	nextPartner time.Time
+	lastTick  time.Time
+	nextProbe time.Time
 }
 
 // New returns the Member of a host's process. A later process of the same host
@@ -74,20 +71,12 @@
 	return Dead
 }
 
-// Contact returns what is known from the exchange with the host.
-func (m *Member) Contact(id bbtfleet.HostID) Contact {
-	if p, ok := m.peers[id]; ok {
-		return p.contact
-	}
-	return Contact{}
-}
-
 // Neighbours returns the hosts that the Member probes; they must not be
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
 
 // SetHosts gives the host list in force.
-func (m *Member) SetHosts(now time.Time, list bbtfleet.HostList) []Action {
+func (m *Member) SetHosts(_ time.Time, list bbtfleet.HostList) []Action {
 	m.ring = newRing(list.Hosts())
 	old := m.peers
 	m.peers = make(map[bbtfleet.HostID]*peer, len(list.Hosts()))
@@ -97,20 +86,13 @@
 		}
 		p, ok := old[h.ID()]
 		if !ok {
-			p = &peer{id: h.ID(), contact: Contact{heard: now}}
+			p = &peer{id: h.ID()}
 		}
 		m.peers[h.ID()] = p
 	}
-	m.partners = slices.DeleteFunc(m.partners, func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
 	return m.chooseNeighbours()
 }
 
-// SetPartners gives the hosts whose answers the host depends on, each of which
-// is probed every PartnerInterval.
-func (m *Member) SetPartners(hosts []bbtfleet.HostID) {
-	m.partners = slices.DeleteFunc(slices.Clone(hosts), func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
-}
-
 // Leave makes the host known as leaving. There is no way back but a new
 // incarnation.
 func (m *Member) Leave(now time.Time, d bbtview.Digest) []Action {
--- a/core/bbtmember/queue.go
+++ b/core/bbtmember/queue.go
@@ -1,10 +1,10 @@
 package bbtmember
 
 // MaxChanges is the largest number of changes in a message.
-const MaxChanges = 6
+const MaxChanges = 8
 
 // changeSends is how often a host sends a change on.
-const changeSends = 12
+const changeSends = 8
 
 // queued is a change with the number of sends left.
 type queued struct {
@@ -26,6 +26,9 @@
 	q.items = append([]queued{{change: c, left: changeSends}}, q.items...)
 }
 
+// long reports whether the changes do not fit one message.
+func (q *queue) long() bool { return len(q.items) > MaxChanges }
+
 // next returns the changes for one message.
 func (q *queue) next() []Change {
 	n := min(len(q.items), MaxChanges)
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -40,10 +40,6 @@
 		return append(actions, seen)
 	}
 	seen.Asked = pr.sent
-	if p := m.peers[from]; p != nil && pr.sent.After(p.contact.acked) {
-		p.contact.acked = pr.sent
-		p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
-	}
 	if pr.asker != "" {
 		actions = append(actions, Send{To: pr.asker, Message: Relayed{Seq: pr.askSeq}})
 	}
@@ -72,14 +68,6 @@
 	if p == nil {
 		return nil
 	}
-	if incarnation < p.incarnation {
-		return nil
-	}
-	p.contact.heard = now
-	p.contact.incarnation = bbtfleet.Incarnation(incarnation)
-	if incarnation == p.incarnation && round <= p.round {
-		return nil
-	}
 	return m.apply(now, Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive})
 }
 
@@ -109,7 +97,7 @@
 // apply takes a newer change and sends it on.
 func (m *Member) apply(now time.Time, c Change) []Action {
 	p := m.peers[bbtfleet.HostID(c.Host)]
-	if p == nil || !p.replacedBy(c) {
+	if p == nil || !p.replacedBy(c) || p.unproven(c) {
 		return nil
 	}
 	before := p.state
--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -21,7 +21,6 @@
 	}
 	actions := m.expireProbes(now, d)
 	actions = append(actions, m.expireSuspects(now)...)
-	actions = append(actions, m.probePartners(now, d)...)
 	actions = append(actions, m.probeNeighbour(now, d)...)
 	return append(actions, m.tellEagerly(now, d)...)
 }
@@ -30,7 +29,6 @@
 func (m *Member) resume(now time.Time) {
 	m.probes.clear()
 	for _, p := range m.peers {
-		p.contact.heard = now
 		p.suspected = now
 	}
 }
@@ -70,7 +68,6 @@
 	}
 	p.state = Suspect
 	p.suspected = now
-	m.queue.add(p.change())
 	return []Action{Changed{Host: id, State: Suspect}, m.ping(now, d, id)}
 }
 
@@ -92,25 +89,6 @@
 	return actions
 }
 
-// probePartners probes the partners one after another, each once every
-// PartnerInterval.
-func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
-	if len(m.partners) == 0 {
-		return nil
-	}
-	step := PartnerInterval / time.Duration(len(m.partners))
-	if m.nextPartner.IsZero() {
-		m.nextPartner = now
-	}
-	var actions []Action
-	for !now.Before(m.nextPartner) {
-		m.nextPartner = m.nextPartner.Add(step)
-		m.partner = (m.partner + 1) % len(m.partners)
-		actions = append(actions, m.ping(now, d, m.partners[m.partner]))
-	}
-	return actions
-}
-
 // probeNeighbour probes the next neighbour, now and then a host believed dead.
 func (m *Member) probeNeighbour(now time.Time, d bbtview.Digest) []Action {
 	if m.nextProbe.IsZero() {
@@ -126,14 +104,11 @@
 			return []Action{m.ping(now, d, id)}
 		}
 	}
-	for range m.neighbours {
-		m.next = (m.next + 1) % len(m.neighbours)
-		id := m.neighbours[m.next]
-		if !slices.Contains(m.partners, id) {
-			return []Action{m.ping(now, d, id)}
-		}
+	if len(m.neighbours) == 0 {
+		return nil
 	}
-	return nil
+	m.next = (m.next + 1) % len(m.neighbours)
+	return []Action{m.ping(now, d, m.neighbours[m.next])}
 }
 
 // randomDead returns a host of the host list that is believed dead.
@@ -150,12 +125,14 @@
 	return dead[m.rng.IntN(len(dead))], true
 }
 
-// tellEagerly sends new changes to some neighbours.
+// tellEagerly sends new changes to some neighbours, less often while there are
+// many.
 func (m *Member) tellEagerly(now time.Time, d bbtview.Digest) []Action {
-	if !m.eager {
+	if !m.eager || m.queue.long() && now.Sub(m.told) < ProbeInterval {
 		return nil
 	}
 	m.eager = false
+	m.told = now
 	var actions []Action
 	for _, id := range m.sample(eagerHosts, "") {
 		actions = append(actions, m.ping(now, d, id))
--- a/core/bbtowner/lease.go
+++ b/core/bbtowner/lease.go
@@ -13,30 +13,20 @@
 		return nil
 	}
 	actions := e.expire(now)
-	if now.Before(e.next) || now.Sub(e.started) < PromiseFor {
+	if now.Sub(e.started) < PromiseFor {
 		return actions
 	}
-	e.next = now.Add(AskInterval)
+	due := !now.Before(e.next)
+	if due {
+		e.next = now.Add(AskInterval)
+	}
 	asks := make(map[bbtfleet.HostID]*LeaseAsk)
 	for _, s := range e.states {
 		e.settle(s)
-		if !e.wants(now, s) {
-			continue
-		}
-		if !s.wanted {
-			s.wanted = true
-			s.ballots = make(map[bbtfleet.HostID]ballot)
+		if e.wants(now, s) && (due || !s.wanted) {
+			e.want(now, s, asks)
+			actions = append(actions, e.acquire(now, s)...)
 		}
-		s.promise = promise{holder: e.self, until: now.Add(PromiseFor)}
-		for _, id := range s.voters(e.self) {
-			ask := asks[id]
-			if ask == nil {
-				ask = &LeaseAsk{View: e.view()}
-				asks[id] = ask
-			}
-			ask.Claims = append(ask.Claims, e.claim(s, id))
-		}
-		actions = append(actions, e.acquire(now, s)...)
 	}
 	for _, id := range sortedHosts(asks) {
 		actions = append(actions, e.send(now, id, *asks[id]))
@@ -44,6 +34,24 @@
 	return actions
 }
 
+// want promises the host's own vote to itself and adds the endpoint to the
+// questions to the other electors.
+func (e *Elector) want(now time.Time, s *state, asks map[bbtfleet.HostID]*LeaseAsk) {
+	if !s.wanted {
+		s.wanted = true
+		s.ballots = make(map[bbtfleet.HostID]ballot)
+	}
+	s.promise = promise{holder: e.self, until: now.Add(PromiseFor)}
+	for _, id := range s.voters(e.self) {
+		ask := asks[id]
+		if ask == nil {
+			ask = &LeaseAsk{View: e.view()}
+			asks[id] = ask
+		}
+		ask.Claims = append(ask.Claims, e.claim(s, id))
+	}
+}
+
 // expire gives up the endpoints that no majority supports any more.
 func (e *Elector) expire(now time.Time) []Action {
 	var actions []Action
@@ -68,7 +76,7 @@
 	if s.rank == 0 || s.holding {
 		return true
 	}
-	silence := PromiseFor + time.Duration(s.rank-1)*AskInterval
+	silence := PromiseFor + TickInterval + time.Duration(s.rank-1)*AskInterval
 	return now.Sub(s.preferred) >= silence
 }
 
--- a/core/bbtowner/move.go
+++ b/core/bbtowner/move.go
@@ -21,7 +21,7 @@
 			continue
 		}
 		if !ok {
-			s = &state{id: ep.ID(), preferred: now, isNew: old == nil, ballots: make(map[bbtfleet.HostID]ballot)}
+			s = &state{id: ep.ID(), preferred: now.Add(AskInterval), isNew: old == nil, ballots: make(map[bbtfleet.HostID]ballot)}
 		}
 		actions = append(actions, e.move(s, old)...)
 		if s.elects(e.self) {
--- a/core/bbtowner/vote.go
+++ b/core/bbtowner/vote.go
@@ -68,13 +68,10 @@
 		if !better {
 			return false, nil
 		}
-		if !s.holding {
-			s.abandon()
-			return true, nil
-		}
+		held := s.holding
 		actions := e.release(s)
 		s.promise.until = now.Add(GrantFor)
-		return false, actions
+		return !held, actions
 	}
 	if now.Before(s.promise.until) && s.promise.holder != from {
 		return false, nil
--- a/core/bbtview/candidate.go
+++ b/core/bbtview/candidate.go
@@ -13,15 +13,16 @@
 	manifest Manifest
 	data     []byte
 	parts    map[uint64][]byte
-	asked    time.Time // when the read of the manifest was sent, zero if a peer gave it
-	retry    time.Time // when the lacking parts are read again
+	packed   map[uint64][]byte // compressed parts, as far as peers gave them
+	asked    time.Time         // when the read of the manifest was sent, zero if a peer gave it
+	retry    time.Time         // when the lacking parts are read again
 	backoff  time.Duration
 	next     int // part to read next
 }
 
 // newCandidate returns a candidate for the manifest.
 func newCandidate(m Manifest, data []byte) *candidate {
-	return &candidate{manifest: m, data: data, parts: make(map[uint64][]byte)}
+	return &candidate{manifest: m, data: data, parts: make(map[uint64][]byte), packed: make(map[uint64][]byte)}
 }
 
 // fill takes the contents that belong to the candidate's parts.
@@ -74,9 +75,18 @@
 	return out
 }
 
+// keep takes over the compressed forms of parts that the candidate has too.
+func (c *candidate) keep(packed map[uint64][]byte) {
+	for d, data := range packed {
+		if c.parts[d] != nil && c.packed[d] == nil {
+			c.packed[d] = data
+		}
+	}
+}
+
 // snapshot returns the collected configuration.
 func (c *candidate) snapshot() snapshot {
-	s := snapshot{version: c.manifest.Version(), manifest: c.data, parts: c.parts}
+	s := snapshot{version: c.manifest.Version(), manifest: c.data, parts: c.parts, packed: c.packed}
 	for _, p := range c.manifest.Parts() {
 		s.digests = append(s.digests, p.Digest())
 	}
--- a/core/bbtview/judge.go
+++ b/core/bbtview/judge.go
@@ -22,6 +22,7 @@
 	}
 	first := k.config == nil
 	k.config = cfg
+	c.keep(k.force.packed)
 	k.force = c.snapshot()
 	k.counters.taken++
 	k.drop()
--- a/core/bbtview/manifest.go
+++ b/core/bbtview/manifest.go
@@ -42,6 +42,7 @@
 type Manifest struct {
 	version bbtfleet.Version
 	parts   []Part
+	data    []byte
 }
 
 // NewManifest returns a manifest of the given revision. It keeps parts, which
@@ -58,8 +59,14 @@
 // Parts returns the parts in the manifest's order; they must not be changed.
 func (m Manifest) Parts() []Part { return m.parts }
 
-// withHash returns the manifest with the digest of its own bytes.
-func (m Manifest) withHash(data []byte) Manifest {
+// Data returns the manifest's bytes, which must not be changed. They are there
+// for a Parse function, which may be called for another manifest than the one
+// that was parsed last.
+func (m Manifest) Data() []byte { return m.data }
+
+// complete returns the manifest with its own bytes and their digest.
+func (m Manifest) complete(data []byte) Manifest {
+	m.data = data
 	m.version = bbtfleet.NewVersion(m.version.Revision(), Hash(data))
 	return m
 }
--- a/core/bbtview/peer.go
+++ b/core/bbtview/peer.go
@@ -30,8 +30,12 @@
 
 // PeerAsked answers a peer's question.
 func (k *Keeper) PeerAsked(now time.Time, from bbtfleet.HostID, q Question) []Action {
-	t := Transfer{Digest: k.Digest(now), Hosts: k.hosts.delta(bbtfleet.Revision(q.Digest.Hosts))}
+	t := Transfer{Digest: k.Digest(now)}
+	if !q.Brief {
+		t.Hosts = k.hosts.delta(bbtfleet.Revision(q.Digest.Hosts))
+	}
 	switch {
+	case q.Brief:
 	case k.force.version.Newer(q.Digest.Version()):
 		t.Manifest = k.force.manifest
 		t.Parts = k.force.lacking(q.Have)
@@ -49,7 +53,9 @@
 	}
 	actions := k.takeTransfer(now, t)
 	k.starting.answered(from, t.Digest)
-	if !k.lacks(t.Digest) {
+	if k.lacks(t.Digest) {
+		actions = append(actions, k.ask(now, from)...)
+	} else {
 		k.agree(asked, t.Digest)
 	}
 	return append(actions, k.finishStart(now)...)
@@ -70,14 +76,20 @@
 	if err != nil {
 		return append(actions, k.refuseManifest(t.Manifest, err)...)
 	}
-	m = m.withHash(t.Manifest)
+	m = m.complete(t.Manifest)
 	if !k.wanted(m.Version()) {
 		return actions
 	}
 	c := k.collect(m, t.Manifest)
-	for _, data := range t.Parts {
+	for _, packed := range t.Parts {
+		data, err := unpack(packed)
+		if err != nil {
+			k.counters.mismatches++
+			continue
+		}
 		digest := Hash(data)
 		c.fill(func(d uint64) ([]byte, bool) { return data, d == digest })
+		c.packed[digest] = packed
 	}
 	if !c.whole() {
 		return actions
--- a/core/bbtview/platform.go
+++ b/core/bbtview/platform.go
@@ -7,10 +7,12 @@
 )
 
 // ManifestRead takes the result of a read or, if watch is set, of a watch of
-// the manifest. Asked is when the read was sent, for a watch when it returned.
+// the manifest. Asked is when the read was sent. A watch may have waited long, so
+// that it does not prove the view to be current.
 func (k *Keeper) ManifestRead(now, asked time.Time, v bbtfleet.Value, watch bool) []Action {
 	if watch {
 		k.reading.watching = false
+		asked = time.Time{}
 	}
 	k.reading.service = v.Revision()
 	actions := k.takeManifest(now, asked, v.Data())
@@ -96,7 +98,7 @@
 	if err != nil {
 		return k.refuseManifest(data, err)
 	}
-	m = m.withHash(data)
+	m = m.complete(data)
 	if !k.wanted(m.Version()) {
 		k.confirm(asked, m.Version())
 		return nil
--- a/core/bbtview/starting.go
+++ b/core/bbtview/starting.go
@@ -52,7 +52,7 @@
 	return append([]Action{ReadHosts{}}, k.askAtStart(now)...)
 }
 
-// askAtStart asks some peers for their view.
+// askAtStart asks some peers which view they have.
 func (k *Keeper) askAtStart(now time.Time) []Action {
 	if k.starting.done {
 		return nil
@@ -64,7 +64,8 @@
 	var actions []Action
 	for _, i := range k.rng.Perm(len(peers)) {
 		if len(actions) < startPeers && peers[i] != k.self {
-			actions = append(actions, AskPeer{To: peers[i], Question: k.question(now)})
+			q := Question{Digest: k.Digest(now), Brief: true}
+			actions = append(actions, AskPeer{To: peers[i], Question: q})
 		}
 	}
 	k.starting.next = now.Add(startAgain)
--- a/core/bbtview/tick.go
+++ b/core/bbtview/tick.go
@@ -40,7 +40,8 @@
 	peers := k.neighbours
 	for i, j := range k.rng.Perm(len(peers)) {
 		if i < pausePeers {
-			actions = append(actions, AskPeer{To: peers[j], Question: k.question(now)})
+			q := Question{Digest: k.Digest(now), Brief: true}
+			actions = append(actions, AskPeer{To: peers[j], Question: q})
 		}
 	}
 	return actions
--- a/core/bbtview/wire.go
+++ b/core/bbtview/wire.go
@@ -33,13 +33,14 @@
 type Question struct {
 	Digest Digest   `cbor:"1,keyasint"`           // the asker's view
 	Have   []uint64 `cbor:"2,keyasint,omitempty"` // digests of the parts the asker holds
+	Brief  bool     `cbor:"3,keyasint,omitempty"` // whether the peer's Digest is all that is wanted
 }
 
 // Transfer answers a Question.
 type Transfer struct {
 	Digest   Digest     `cbor:"1,keyasint"`
 	Manifest []byte     `cbor:"2,keyasint,omitempty"` // the manifest's bytes, if newer than the asker's
-	Parts    [][]byte   `cbor:"3,keyasint,omitempty"` // contents of the parts the asker lacks
+	Parts    [][]byte   `cbor:"3,keyasint,omitempty"` // compressed contents of the parts the asker lacks
 	Hosts    *HostDelta `cbor:"4,keyasint,omitempty"` // changes of the host list, if newer than the asker's
 }
 
--- /dev/null
+++ b/internal/fleetrun/main.go
@@ -0,0 +1,52 @@
+// Command fleetrun drives the control logic of many hosts in virtual time
+// against a counting fake of the platform and prints what it costs.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// settings is the command line.
+type settings struct {
+	Hosts     int      `help:"Entry hosts." default:"400"`
+	Endpoints int      `help:"Endpoints." default:"600"`
+	Contracts int      `help:"Contracts." default:"19000"`
+	Zones     int      `help:"Availability zones." default:"7"`
+	Seed      uint64   `help:"Seed of all random choices." default:"1"`
+	Scenario  []string `help:"Scenarios to run after the start; all if none is named."`
+	Header    bool     `help:"Print the column names first." default:"true" negatable:""`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s)
+	w := newWorld(s)
+	if s.Header {
+		fmt.Println(header)
+	}
+	for _, sc := range scenarios {
+		if sc.name != "start" && len(s.Scenario) > 0 && !named(s.Scenario, sc.name) {
+			continue
+		}
+		fmt.Println(w.measure(sc))
+	}
+	for _, v := range w.checks.violations {
+		fmt.Fprintln(os.Stderr, "violation:", v)
+	}
+	if len(w.checks.violations) > 0 {
+		os.Exit(1)
+	}
+}
+
+// named reports whether name is in list.
+func named(list []string, name string) bool {
+	for _, s := range list {
+		if s == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/fleetrun/world.go
@@ -0,0 +1,152 @@
+package main
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"bluebelltray/core/bbtconfig"
+	"bluebelltray/core/bbtfleet"
+)
+
+const (
+	latency      = 1500 * time.Microsecond // one way between hosts
+	latencyRange = time.Millisecond        // added at random
+	lossRate     = 0.001                   // of messages between hosts
+	listLag      = 5 * time.Second         // of the host list behind the hosts
+)
+
+// world is the hosts, the platform and the network between them, in virtual
+// time and on one goroutine.
+type world struct {
+	now      time.Time
+	rng      *rand.Rand
+	events   events
+	seq      int
+	hosts    []*host
+	byID     map[bbtfleet.HostID]*host
+	zones    []bbtfleet.Zone
+	platform *platform
+	parsed   map[bbtfleet.Version]parsed
+	checks   *checks
+	stats    *stats
+	loss     float64
+
+	// severed reports whether messages from one host to another are lost; an
+	// empty name stands for the platform.
+	severed func(from, to bbtfleet.HostID) bool
+
+	endpoints []bbtfleet.Endpoint
+	contracts []bbtfleet.Contract
+	revision  bbtfleet.Revision
+}
+
+// parsed is a configuration with the processor time that parsing took.
+type parsed struct {
+	config *bbtfleet.Configuration
+	err    error
+	cost   time.Duration
+}
+
+// newWorld returns a world whose hosts have not started.
+func newWorld(s settings) *world {
+	w := &world{
+		now:     time.Unix(0, 0),
+		rng:     rand.New(rand.NewPCG(s.Seed, 0)),
+		byID:    make(map[bbtfleet.HostID]*host),
+		parsed:  make(map[bbtfleet.Version]parsed),
+		checks:  newChecks(),
+		loss:    lossRate,
+		severed: func(_, _ bbtfleet.HostID) bool { return false },
+	}
+	w.platform = &platform{world: w}
+	w.stats = newStats(w.now)
+	for i := range s.Zones {
+		w.zones = append(w.zones, bbtfleet.NewZone(bbtfleet.ZoneID(fmt.Sprintf("zone-%d", i)), "region-0", false))
+	}
+	for i := range s.Hosts {
+		id := bbtfleet.HostID(fmt.Sprintf("host-%03d", i))
+		h := &host{world: w, id: id, zone: w.zones[i%s.Zones].ID(), rng: rand.New(rand.NewPCG(s.Seed, uint64(i)+1))}
+		w.hosts = append(w.hosts, h)
+		w.byID[id] = h
+	}
+	for i := range s.Endpoints {
+		id := bbtfleet.EndpointID(fmt.Sprintf("llm-%03d", i))
+		pool := bbtfleet.PoolID(fmt.Sprintf("model-%02d", i%13))
+		addr := fmt.Sprintf("10.1.%d.%d:8000", i/250, i%250+1)
+		w.endpoints = append(w.endpoints, bbtfleet.NewEndpoint(id, w.zones[i%s.Zones].ID(), bbtfleet.ModelEngine, pool,
+			bbtfleet.WithSlots(16), bbtfleet.WithAddr(addr)))
+	}
+	for i := range s.Contracts {
+		w.contracts = append(w.contracts, contract(i, 0))
+	}
+	w.platform.list(w.hostList())
+	w.publish()
+	return w
+}
+
+// contract returns the contract of the i-th account after some changes.
+func contract(i, changes int) bbtfleet.Contract {
+	return bbtfleet.NewContract(bbtfleet.AccountID(fmt.Sprintf("account-%05d", i)), bbtfleet.Tier(i%4+1),
+		bbtfleet.WithRequests(bbtfleet.NewRate(float64(5+changes), 10)),
+		bbtfleet.WithTokens(bbtfleet.NewRate(2000, 8000)),
+		bbtfleet.WithDeadline(20*time.Second))
+}
+
+// publish publishes the zones, endpoints and contracts as the next revision.
+func (w *world) publish() {
+	w.revision++
+	manifest, parts := w.values(w.revision)
+	w.platform.put(manifest, parts)
+}
+
+// values returns the published form of the zones, endpoints and contracts.
+func (w *world) values(r bbtfleet.Revision) ([]byte, []bbtconfig.Part) {
+	return bbtconfig.Publish(r, bbtfleet.NewConfiguration(bbtfleet.Version{},
+		bbtfleet.WithZones(w.zones...),
+		bbtfleet.WithEndpoints(w.endpoints...),
+		bbtfleet.WithContracts(w.contracts...)))
+}
+
+// hostList returns the hosts as the platform would list them.
+func (w *world) hostList() bbtfleet.HostList {
+	var hosts []bbtfleet.Host
+	for i, h := range w.hosts {
+		if h.unlisted {
+			continue
+		}
+		addr := fmt.Sprintf("10.0.%d.%d", i/250, i%250+1)
+		hosts = append(hosts, bbtfleet.NewHost(h.id, h.zone,
+			bbtfleet.WithPeerAddr(addr+":7000"), bbtfleet.WithCallerAddr(addr+":8080")))
+	}
+	return bbtfleet.NewHostList(w.platform.hosts.Revision()+1, hosts)
+}
+
+// at calls f after d.
+func (w *world) at(d time.Duration, f func()) {
+	w.seq++
+	heap.Push(&w.events, event{at: w.now.Add(d), seq: w.seq, call: f})
+}
+
+// run advances the time by d.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		ev := heap.Pop(&w.events).(event)
+		w.now = ev.at
+		ev.call()
+	}
+	w.now = end
+}
+
+// up returns the hosts that run.
+func (w *world) up() []*host {
+	return slices.DeleteFunc(slices.Clone(w.hosts), func(h *host) bool { return !h.running })
+}
+
+// delay returns the time that a message travels.
+func (w *world) delay() time.Duration {
+	return latency + time.Duration(w.rng.Int64N(int64(latencyRange)))
+}
