--- a/core/bbtconfig/builder.go
+++ b/core/bbtconfig/builder.go
@@ -1,8 +1,6 @@
 package bbtconfig
 
 import (
-	"fmt"
-
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtini"
 )
@@ -23,7 +21,7 @@
 	endpoints []bbtfleet.Endpoint
 	contracts []bbtfleet.Contract
 	seen      seen
-	uses      []use
+	uses      []use // of items not known when they were read
 }
 
 // section reads one section.
@@ -61,13 +59,29 @@
 		bbtfleet.WithContracts(b.contracts...)), nil
 }
 
+// use notes that a key names an item. An item that is known already needs no
+// check later.
+func (b *builder) use(s *bbtini.Section, key, of, name string) {
+	if !b.seen.names(of)[name] {
+		b.uses = append(b.uses, newUse(s, key, of, name))
+	}
+}
+
 // resolve reports a use of a name that no section defines.
 func (b *builder) resolve(u use) {
 	names := b.seen.names(u.of)
 	if names[u.name] || b.partial && len(names) == 0 {
 		return
 	}
-	b.report.Add(bbtini.NewProblem(u.at.file, u.at.line, "unknown "+u.of,
+	b.report.Add(bbtini.NewProblem(u.at.file, u.at.line, "names no "+u.of,
 		bbtini.WithSection(u.section), bbtini.WithKey(u.key), bbtini.WithValue(u.name),
-		bbtini.WithWant(fmt.Sprintf("a %s of this configuration", u.of))))
+		bbtini.WithWant(definitions(u.of))))
+}
+
+// definitions says where a kind of item is defined.
+func definitions(of string) string {
+	if of == poolKind {
+		return "the pool of an [endpoint NAME]"
+	}
+	return "the name of a [zone NAME]"
 }
