bbtowner: electors stay in the endpoint's region; electors don't ask in step

Regions lose each other for an hour now and then; electors of another region would take an endpoint's owner away. Electors that started together asked at the same instant for ever, which hid two faults from the tests and makes a herd: the time between questions now varies by a quarter.

--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -20,7 +20,7 @@
 
 const (
 	relayHosts    = 3  // hosts asked to probe for another
-	eagerHosts    = 3  // hosts told of a change at once
+	eagerHosts    = 5  // hosts told of a change at once
 	deadProbeRate = 10 // one probe in so many goes to a host believed dead
 )
 
--- a/core/bbtowner/elector.go
+++ b/core/bbtowner/elector.go
@@ -13,7 +13,7 @@
 // Periods of the Elector.
 const (
 	TickInterval = 200 * time.Millisecond  // longest time between calls of Tick
-	AskInterval  = 1500 * time.Millisecond // between questions to the same elector
+	AskInterval  = 1500 * time.Millisecond // longest time between questions to the same elector
 	LeaseFor     = 3500 * time.Millisecond // for which a vote counts, from the sending of the question
 	GrantFor     = time.Second             // longest life of what an owner grants
 	PromiseFor   = 5 * time.Second         // for which an elector keeps to its vote, above LeaseFor + GrantFor
@@ -23,6 +23,7 @@
 // an elector of. It is not safe for concurrent use.
 type Elector struct {
 	self    bbtfleet.HostID
+	rng     *rand.Rand
 	placing *Map
 	states  []*state // in order of the endpoints' names
 	views   map[bbtfleet.HostID]View
@@ -46,11 +47,11 @@
 func NewElector(self bbtfleet.HostID, now time.Time, rng *rand.Rand) *Elector {
 	return &Elector{
 		self:    self,
+		rng:     rng,
 		started: now,
 		views:   make(map[bbtfleet.HostID]View),
 		asked:   make(map[bbtfleet.HostID]question),
 		heard:   make(map[bbtfleet.HostID]uint32),
-		next:    now.Add(time.Duration(rng.Int64N(int64(AskInterval)))),
 	}
 }
 
--- a/core/bbtowner/lease.go
+++ b/core/bbtowner/lease.go
@@ -7,6 +7,10 @@
 	"bluebelltray/core/bbtfleet"
 )
 
+// askSpread is the part of AskInterval by which the time between questions
+// varies, so that hosts that started together do not ask together.
+const askSpread = 4
+
 // Tick does what is due at now. It is to be called every TickInterval.
 func (e *Elector) Tick(now time.Time) []Action {
 	if e.placing == nil {
@@ -18,7 +22,7 @@
 	}
 	due := !now.Before(e.next)
 	if due {
-		e.next = now.Add(AskInterval)
+		e.next = now.Add(AskInterval - time.Duration(e.rng.Int64N(int64(AskInterval/askSpread))))
 	}
 	asks := make(map[bbtfleet.HostID]*LeaseAsk)
 	for _, s := range e.states {
--- a/core/bbtowner/map.go
+++ b/core/bbtowner/map.go
@@ -21,11 +21,12 @@
 // Map places endpoints, client accounts and keys on the live hosts of one
 // view. It remembers the ranks it computes and is not safe for concurrent use.
 type Map struct {
-	config *bbtfleet.Configuration
-	list   bbtfleet.Revision
-	hosts  []bucket
-	known  map[bbtfleet.HostID]bool // live and leaving hosts
-	ranks  map[bbtfleet.EndpointID][]bbtfleet.HostID
+	config  *bbtfleet.Configuration
+	list    bbtfleet.Revision
+	hosts   []bucket
+	known   map[bbtfleet.HostID]bool // live and leaving hosts
+	regions map[string][]bucket
+	ranks   map[bbtfleet.EndpointID][]bbtfleet.HostID
 }
 
 // NewMap returns the placement over the live hosts of list. The configuration
@@ -35,10 +36,11 @@
 		cfg = bbtfleet.NewConfiguration(bbtfleet.Version{})
 	}
 	m := &Map{
-		config: cfg,
-		list:   list.Revision(),
-		known:  make(map[bbtfleet.HostID]bool, len(list.Hosts())),
-		ranks:  make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
+		config:  cfg,
+		list:    list.Revision(),
+		known:   make(map[bbtfleet.HostID]bool, len(list.Hosts())),
+		regions: make(map[string][]bucket),
+		ranks:   make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
 	}
 	for _, h := range list.Hosts() {
 		m.known[h.ID()] = true
@@ -85,7 +87,8 @@
 }
 
 // Ranks returns the owner and the successors of the endpoint; they must not be
-// changed. They are not all in one zone where another zone has a live host.
+// changed. They are in the endpoint's region, if it has enough live hosts, but not
+// all in one zone, if the region has others.
 func (m *Map) Ranks(id bbtfleet.EndpointID) []bbtfleet.HostID {
 	if ranks, ok := m.ranks[id]; ok {
 		return ranks
@@ -145,21 +148,22 @@
 func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
 	key := endpointHash(id)
 	best := newRanking(Electors)
-	for _, b := range m.hosts {
+	hosts := m.region(zone)
+	for _, b := range hosts {
 		best.offer(b, b.near(key, zone))
 	}
 	if best.zones() == 1 {
-		m.replaceLast(&best, key)
+		replaceLast(&best, hosts, key)
 	}
 	return best.ids()
 }
 
 // replaceLast puts the best host of another zone in the last rank, so that the
 // death of a zone leaves a successor.
-func (m *Map) replaceLast(r *ranking, key uint64) {
+func replaceLast(r *ranking, hosts []bucket, key uint64) {
 	zone := r.entries[0].bucket.host.Zone()
 	other := newRanking(1)
-	for _, b := range m.hosts {
+	for _, b := range hosts {
 		if b.host.Zone() != zone {
 			other.offer(b, b.score(key))
 		}
@@ -173,6 +177,32 @@
 	r.entries = append(r.entries, other.entries[0])
 }
 
+// region returns the hosts of the zone's region, so that regions that lose each
+// other go on owning their endpoints; all hosts if too few are there.
+func (m *Map) region(id bbtfleet.ZoneID) []bucket {
+	name := m.regionOf(id)
+	if hosts, ok := m.regions[name]; ok {
+		return hosts
+	}
+	var hosts []bucket
+	for _, b := range m.hosts {
+		if m.regionOf(b.host.Zone()) == name {
+			hosts = append(hosts, b)
+		}
+	}
+	if len(hosts) < Electors {
+		hosts = m.hosts
+	}
+	m.regions[name] = hosts
+	return hosts
+}
+
+// regionOf returns the zone's region.
+func (m *Map) regionOf(id bbtfleet.ZoneID) string {
+	z, _ := m.config.Zone(id)
+	return z.Region()
+}
+
 // listed reports whether the host is in the host list, live or leaving.
 func (m *Map) listed(id bbtfleet.HostID) bool { return m.known[id] }
 
--- /dev/null
+++ b/core/bbtowner/map_test.go
@@ -0,0 +1,208 @@
+package bbtowner_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtowner"
+	"pgregory.net/rapid"
+)
+
+const (
+	fleetHosts     = 56
+	fleetEndpoints = 600
+	fleetAccounts  = 2000
+	fleetZones     = 7
+)
+
+// hosts returns n hosts over the zones without the i-th for which skip holds.
+func hosts(n int, skip func(i int) bool) []bbtfleet.Host {
+	var out []bbtfleet.Host
+	for i := range n {
+		if skip(i) {
+			continue
+		}
+		id := fmt.Sprintf("host-%03d", i)
+		zone := bbtfleet.ZoneID(fmt.Sprintf("zone-%d", i%fleetZones))
+		out = append(out, bbtfleet.NewHost(bbtfleet.HostID(id), zone, bbtfleet.WithCallerAddr(id)))
+	}
+	return out
+}
+
+// fleetMap returns the placement on n hosts without those for which skip holds.
+func fleetMap(n int, out bbtfleet.ZoneID, skip func(i int) bool) *bbtowner.Map {
+	var zones []bbtfleet.Zone
+	var eps []bbtfleet.Endpoint
+	for i := range fleetZones {
+		id := bbtfleet.ZoneID(fmt.Sprintf("zone-%d", i))
+		zones = append(zones, bbtfleet.NewZone(id, "region", id == out))
+	}
+	for i := range fleetEndpoints {
+		eps = append(eps, bbtfleet.NewEndpoint(bbtfleet.EndpointID(fmt.Sprintf("llm-%03d", i)), zones[i%fleetZones].ID(),
+			bbtfleet.ModelEngine, "summary"))
+	}
+	cfg := bbtfleet.NewConfiguration(bbtfleet.NewVersion(1, 1), bbtfleet.WithZones(zones...), bbtfleet.WithEndpoints(eps...))
+	return bbtowner.NewMap(cfg, bbtfleet.NewHostList(1, hosts(n, skip)))
+}
+
+// all keeps every host.
+func all(int) bool { return false }
+
+func TestOnlyTheRemovedHostsEndpointsMove(t *testing.T) {
+	const gone = 17
+	before := fleetMap(fleetHosts, "", all)
+	after := fleetMap(fleetHosts, "", func(i int) bool { return i == gone })
+	for i := range fleetEndpoints {
+		id := bbtfleet.EndpointID(fmt.Sprintf("llm-%03d", i))
+		was, _ := before.Owner(id)
+		is, _ := after.Owner(id)
+		if was == "host-017" {
+			if want := before.Successors(id)[0]; is != want {
+				t.Errorf("%s: got owner %s, want the first successor %s", id, is, want)
+			}
+		} else if is != was {
+			t.Errorf("%s moved from %s to %s", id, was, is)
+		}
+	}
+}
+
+func TestElectorsAreNotInOneZone(t *testing.T) {
+	m := fleetMap(fleetHosts, "", all)
+	zone := make(map[bbtfleet.HostID]bbtfleet.ZoneID)
+	for _, h := range hosts(fleetHosts, all) {
+		zone[h.ID()] = h.Zone()
+	}
+	for i := range fleetEndpoints {
+		r := m.Ranks(bbtfleet.EndpointID(fmt.Sprintf("llm-%03d", i)))
+		if len(r) != bbtowner.Electors {
+			t.Fatalf("got %d electors, want %d", len(r), bbtowner.Electors)
+		}
+		if zone[r[0]] == zone[r[1]] && zone[r[1]] == zone[r[2]] {
+			t.Errorf("llm-%03d: electors %v are all in %s", i, r, zone[r[0]])
+		}
+	}
+}
+
+func TestElectorsAreInTheEndpointsRegion(t *testing.T) {
+	var eps []bbtfleet.Endpoint
+	for i := range 20 {
+		id := bbtfleet.EndpointID(fmt.Sprintf("llm-%d", i))
+		eps = append(eps, bbtfleet.NewEndpoint(id, "zone-0", bbtfleet.ModelEngine, "summary"))
+	}
+	cfg := bbtfleet.NewConfiguration(bbtfleet.NewVersion(1, 1), bbtfleet.WithEndpoints(eps...),
+		bbtfleet.WithZones(
+			bbtfleet.NewZone("zone-0", "north", false), bbtfleet.NewZone("zone-1", "north", false),
+			bbtfleet.NewZone("zone-2", "south", false), bbtfleet.NewZone("zone-3", "south", false)))
+	var list []bbtfleet.Host
+	zone := make(map[bbtfleet.HostID]bbtfleet.ZoneID)
+	for i := range 8 {
+		h := bbtfleet.NewHost(bbtfleet.HostID(fmt.Sprintf("host-%d", i)), bbtfleet.ZoneID(fmt.Sprintf("zone-%d", i%4)))
+		list = append(list, h)
+		zone[h.ID()] = h.Zone()
+	}
+	m := bbtowner.NewMap(cfg, bbtfleet.NewHostList(1, list))
+	for _, ep := range eps {
+		for _, id := range m.Ranks(ep.ID()) {
+			if zone[id] != "zone-0" && zone[id] != "zone-1" {
+				t.Errorf("%s: got elector %s of %s, want one of the region", ep.ID(), id, zone[id])
+			}
+		}
+	}
+	few := bbtowner.NewMap(cfg, bbtfleet.NewHostList(2, list[1:4]))
+	if got := len(few.Ranks("llm-0")); got != bbtowner.Electors {
+		t.Errorf("got %d electors, want %d from the other region too", got, bbtowner.Electors)
+	}
+}
+
+func TestAddresses(t *testing.T) {
+	before := fleetMap(fleetHosts, "", all)
+	after := fleetMap(fleetHosts, "zone-3", all)
+	load := make(map[string]int)
+	for i := range fleetAccounts {
+		id := bbtfleet.AccountID(fmt.Sprintf("account-%05d", i))
+		was, is := before.Addresses(id), after.Addresses(id)
+		if len(is) == 0 {
+			t.Fatalf("%s: got no address", id)
+		}
+		for _, addr := range is {
+			load[addr]++
+		}
+		for _, addr := range was {
+			if !inZone(addr, 3) && !slices.Contains(is, addr) {
+				t.Errorf("%s: %s was taken from the addresses", id, addr)
+			}
+		}
+	}
+	mean := 0
+	for addr, n := range load {
+		mean += n
+		if inZone(addr, 3) {
+			t.Errorf("got %d answers with %s, which is in a zone that is out", n, addr)
+		}
+	}
+	mean /= len(load)
+	for addr, n := range load {
+		if n > 2*mean || n < mean/2 {
+			t.Errorf("%s: got %d answers, want near the mean %d", addr, n, mean)
+		}
+	}
+}
+
+// inZone reports whether the host of the address is in the zone.
+func inZone(addr string, zone int) bool {
+	var i int
+	if _, err := fmt.Sscanf(addr, "host-%d", &i); err != nil {
+		panic(err)
+	}
+	return i%fleetZones == zone
+}
+
+func TestHomesMoveWithTheirHostOnly(t *testing.T) {
+	before := fleetMap(fleetHosts, "", all)
+	after := fleetMap(fleetHosts, "", func(i int) bool { return i == 5 })
+	for i := range fleetAccounts {
+		id := bbtfleet.AccountID(fmt.Sprintf("account-%05d", i))
+		was, is := before.Homes(id), after.Homes(id)
+		if !slices.Contains(was, "host-005") && !slices.Equal(was, is) {
+			t.Errorf("%s: homes moved from %v to %v", id, was, is)
+		}
+		keyWas, _ := before.KeyHome(id, "order-1")
+		keyIs, _ := after.KeyHome(id, "order-1")
+		if keyWas != "host-005" && keyIs != keyWas {
+			t.Errorf("%s: home of the key moved from %s to %s", id, keyWas, keyIs)
+		}
+	}
+}
+
+func TestFenceNumbersKeepTheOrder(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "500", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	fence := rapid.Custom(func(t *rapid.T) bbtowner.Fence {
+		v := bbtowner.View{
+			Config: rapid.SampledFrom([]uint64{0, 1, 1<<22 - 1}).Draw(t, "config"),
+			List:   rapid.SampledFrom([]uint64{0, 1, 1<<22 - 1}).Draw(t, "list"),
+		}
+		epoch := rapid.SampledFrom([]uint32{0, 1, 1<<16 - 1}).Draw(t, "epoch")
+		return bbtowner.NewFence(v, epoch, rapid.IntRange(0, 2).Draw(t, "rank"))
+	})
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := fence.Draw(t, "a"), fence.Draw(t, "b")
+		na, errA := a.Number()
+		nb, errB := b.Number()
+		if errA != nil || errB != nil {
+			t.Fatal(errA, errB)
+		}
+		if got, want := na < nb, a.Compare(b) < 0; got != want || na == 0 {
+			t.Fatalf("got %d < %d = %v, want %v", na, nb, got, want)
+		}
+	})
+	if _, err := bbtowner.NewFence(bbtowner.View{Config: 1 << 22}, 0, 0).Number(); err == nil {
+		t.Error("got a number for a revision that does not fit")
+	}
+}
--- a/internal/fleetrun/host.go
+++ b/internal/fleetrun/host.go
@@ -44,8 +44,9 @@
 	asked time.Time // when the question was sent that msg asks or answers
 }
 
-// start starts a process of the host.
+// start starts a process of the host, in place of one that runs.
 func (h *host) start() {
+	h.stop()
 	now := h.world.now
 	h.incarnation++
 	h.running = true
