bbtgrant: the next of a tier whose prefix the endpoint holds goes first

Cause: under overload an endpoint has room for one request at a time, so the choice among endpoints no longer saves any prefill; the choice among waiting requests does.

--- a/core/bbtgrant/grant.go
+++ b/core/bbtgrant/grant.go
@@ -36,15 +36,12 @@
 	}
 	var out []Action
 	for room := p.withRoom(now); len(room) > 0; room = p.withRoom(now) {
-		var e *endpoint
-		it, ok := p.queue.Next(func(it bbtqueue.Item) bool {
-			e = p.choose(now, room, it)
-			return e != nil
-		})
+		c, ok := p.pick(now, room)
 		if !ok {
 			break
 		}
-		out = append(out, o.permit(now, p, e, it))
+		p.queue.Take(c.item.Key)
+		out = append(out, o.permit(now, p, c.endpoint, c.item))
 	}
 	return out
 }
--- a/core/bbtgrant/pool.go
+++ b/core/bbtgrant/pool.go
@@ -1,7 +1,6 @@
 package bbtgrant
 
 import (
-	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -11,7 +10,6 @@
 
 const (
 	sweepEvery   = 100 * time.Millisecond
-	heldBonus    = 0.25 // use that a held prefix outweighs
 	retryNoRoom  = time.Second
 	retryEvicted = time.Second
 )
@@ -30,6 +28,7 @@
 type waiter struct {
 	Registration
 	arrived time.Time
+	passed  int // requests granted before it for their prefixes
 }
 
 func newPool(waiting int) *pool {
@@ -110,27 +109,6 @@
 	return !now.Add(e.pace.needs(float64(r.Prompt), output)).After(deadline)
 }
 
-// choose returns the endpoint for a request among those with room, or nil. A
-// held prefix outweighs a small difference in use.
-func (p *pool) choose(now time.Time, room []*endpoint, it bbtqueue.Item) *endpoint {
-	r := p.waiters[it.Key].Registration
-	var best *endpoint
-	var least float64
-	for _, e := range room {
-		if r.Alone && e.alone > 0 || slices.Contains(r.Exclude, e.record.ID()) || !p.inTime(now, e, r, it.Deadline) {
-			continue
-		}
-		use := e.use()
-		if e.held.hold(r.Prefix) {
-			use -= heldBonus
-		}
-		if best == nil || use < least {
-			best, least = e, use
-		}
-	}
-	return best
-}
-
 // withRoom returns the endpoints that can take a request now, and notes when
 // the next one can if that is known.
 func (p *pool) withRoom(now time.Time) []*endpoint {
--- a/core/bbtqueue/queue.go
+++ b/core/bbtqueue/queue.go
@@ -61,22 +61,25 @@
 	return it, true
 }
 
-// Next takes the first request that accept allows and charges its cost to its
-// account's share.
-func (q *Queue) Next(accept func(Item) bool) (Item, bool) {
+// Each visits the waiting requests in order until visit returns false.
+func (q *Queue) Each(visit func(Item) bool) {
 	for t := range q.tiers {
-		it, ok := q.tiers[t].next(accept)
-		if !ok {
-			continue
+		if !q.tiers[t].each(visit) {
+			return
 		}
-		delete(q.items, it.Key)
-		q.tiers[t].charge(it)
-		return it, true
 	}
-	return Item{}, false
 }
 
-// Refund undoes the charge of a request that Next returned and that was not
+// Take takes a request out and charges its cost to its account's share.
+func (q *Queue) Take(k Key) (Item, bool) {
+	it, ok := q.Remove(k)
+	if ok {
+		q.tiers[tierIndex(it.Tier)].charge(it)
+	}
+	return it, ok
+}
+
+// Refund undoes the charge of a request that Take returned and that was not
 // served.
 func (q *Queue) Refund(it Item) { q.tiers[tierIndex(it.Tier)].refund(it) }
 
@@ -84,10 +87,11 @@
 func (q *Queue) Evict(match func(Item) bool) []Item {
 	var out []Item
 	for t := len(q.tiers) - 1; t >= 0; t-- {
-		q.tiers[t].each(func(it Item) {
+		q.tiers[t].each(func(it Item) bool {
 			if match(it) {
 				out = append(out, it)
 			}
+			return true
 		})
 	}
 	for _, it := range out {
--- a/core/bbtqueue/tier.go
+++ b/core/bbtqueue/tier.go
@@ -55,19 +55,6 @@
 	t.take(s, i)
 }
 
-// next takes the first request in order that accept allows.
-func (t *tierQueue) next(accept func(Item) bool) (Item, bool) {
-	for _, s := range t.active {
-		for i, it := range s.items {
-			if accept(it) {
-				t.take(s, i)
-				return it, true
-			}
-		}
-	}
-	return Item{}, false
-}
-
 // charge adds the request's cost to its account's share.
 func (t *tierQueue) charge(it Item) {
 	s := t.shares[it.Account]
@@ -87,12 +74,17 @@
 	t.reorder(s, max(0, s.served-it.Cost))
 }
 
-func (t *tierQueue) each(visit func(Item)) {
+// each visits the requests in order and reports whether visit always returned
+// true.
+func (t *tierQueue) each(visit func(Item) bool) bool {
 	for _, s := range t.active {
 		for _, it := range s.items {
-			visit(it)
+			if !visit(it) {
+				return false
+			}
 		}
 	}
+	return true
 }
 
 func (t *tierQueue) last() (Item, bool) {
--- a/internal/measure/ideal.go
+++ b/internal/measure/ideal.go
@@ -14,6 +14,8 @@
 // idealMargin is how much longer steps take as they read prompts too.
 const idealMargin = 1.3
 
+const idealAhead = 64 // requests considered for their prefixes
+
 // ideal is one scheduler for all hosts with exact and instant knowledge: of
 // each engine's state, of each answer's length, without messages. It serves by
 // tier, then by deadline, and refuses what can't finish in time.
@@ -69,34 +71,56 @@
 	return h.direct.View(now, t)
 }
 
-// serve dispatches in order what an engine can finish in time.
+// serve dispatches what engines can finish in time. Of the next requests of a
+// tier it takes one whose prefix the engine holds.
 func (d *ideal) serve() {
-	room := d.withRoom()
-	d.waiting = slices.DeleteFunc(d.waiting, func(x idealWaiter) bool {
-		if len(room[x.request.Pool]) == 0 {
-			return false
-		}
-		if d.w.now.Add(fastest(x.actual)).After(x.request.Deadline) {
-			err := bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonDeadline)
-			x.host.refuse(bbtroute.Refuse{Request: x.request.ID, Err: err})
-			return true
-		}
-		e := d.best(room[x.request.Pool], x)
+	d.expire()
+	for room := d.withRoom(); len(room) > 0; room = d.withRoom() {
+		x, e := d.pick(room)
 		if e == nil {
-			return false
+			return
 		}
+		d.waiting = slices.DeleteFunc(d.waiting, func(y idealWaiter) bool { return y.request.ID == x.request.ID })
 		h := x.host.policy.(*idealHost)
 		h.running[x.request.ID] = flight{request: x.request, at: e.record.ID()}
 		d.onWay[e]++
 		d.w.after(d.w.spec.fleet.across*2, func() { d.onWay[e]-- })
 		x.host.dispatch(bbtroute.Dispatch{Request: x.request.ID, Endpoint: e.record.ID()})
-		if d.free(e) <= 0 {
-			room = d.withRoom()
+	}
+}
+
+// expire refuses what no engine can finish in time.
+func (d *ideal) expire() {
+	d.waiting = slices.DeleteFunc(d.waiting, func(x idealWaiter) bool {
+		if !d.w.now.Add(fastest(x.actual)).After(x.request.Deadline) {
+			return false
 		}
+		err := bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonDeadline)
+		x.host.refuse(bbtroute.Refuse{Request: x.request.ID, Err: err})
 		return true
 	})
 }
 
+func (d *ideal) pick(room map[bbtfleet.PoolID][]*engine) (idealWaiter, *engine) {
+	var first idealWaiter
+	var at *engine
+	ahead := 0
+	for _, x := range d.waiting {
+		if at != nil && (ahead > idealAhead || x.request.Tier != first.request.Tier) {
+			break
+		}
+		ahead++
+		e := d.best(room[x.request.Pool], x)
+		if e != nil && slices.Contains(e.cache, x.actual.prefix) {
+			return x, e
+		}
+		if at == nil {
+			first, at = x, e
+		}
+	}
+	return first, at
+}
+
 // free returns how many requests the engine can take.
 func (d *ideal) free(e *engine) int {
 	if e.dead || e.frozen || e.record.Zone() == d.w.out {
