bbtroute: wait with two owners at once

Cause: a third owner takes requests away from the endpoint that holds their prefixes and shortens no queue.

--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	defaultWidth = 3
+	defaultWidth = 2
 	defaultHedge = 6 * time.Millisecond
 	mostLost     = 2 // endpoints that one request may be lost with
 )
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -255,10 +255,11 @@
 	if i >= 0 {
 		e.cache = slices.Delete(e.cache, i, i+1)
 	} else {
-		e.w.cacheEvent(e, prefix)
+		e.w.cacheEvent(bbtgrant.CacheEvent{Endpoint: e.record.ID(), Prefix: prefix})
 	}
 	e.cache = append(e.cache, prefix)
 	if len(e.cache) > prefixEntries {
+		e.w.cacheEvent(bbtgrant.CacheEvent{Endpoint: e.record.ID(), Prefix: e.cache[0], Evicted: true})
 		e.cache = slices.Delete(e.cache, 0, 1)
 	}
 }
--- a/internal/measure/world.go
+++ b/internal/measure/world.go
@@ -213,14 +213,14 @@
 }
 
 // cacheEvent tells the endpoint's owner of a prefix, late and not always.
-func (w *world) cacheEvent(e *engine, prefix uint64) {
+func (w *world) cacheEvent(c bbtgrant.CacheEvent) {
 	if w.rng.Float64() < cacheLoss {
 		return
 	}
 	w.after(cacheLag, func() {
 		for _, h := range w.hosts {
-			if !h.dead && h.owner != nil && h.owner.Owns(e.record.ID()) {
-				h.grants(h.owner.Cached(w.now, bbtgrant.CacheEvent{Endpoint: e.record.ID(), Prefix: prefix}))
+			if !h.dead && h.owner != nil && h.owner.Owns(c.Endpoint) {
+				h.grants(h.owner.Cached(w.now, c))
 			}
 		}
 	})
