--- /dev/null
+++ b/core/bbtsuspect/fleet_test.go
@@ -0,0 +1,212 @@
+package bbtsuspect_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtsuspect"
+)
+
+// The times of the test's fleet.
+const (
+	spread    = 3 * time.Second // longest time for a notice or a release to arrive
+	unsettled = bbtsuspect.ClaimTime + spread
+	runTime   = bbtsuspect.ClaimTime - time.Second
+)
+
+// host is one entry host with its guard.
+type host struct {
+	suspicions bbtsuspect.Suspicions
+	tracker    *bbtsuspect.Tracker
+	guard      *bbtsuspect.Guard
+	side       int
+}
+
+// later is something that happens at a time.
+type later struct {
+	at time.Time
+	do func()
+}
+
+// fleet sends one request that crashes each endpoint, through all hosts again
+// and again.
+type fleet struct {
+	rng     *rand.Rand
+	now     time.Time
+	hosts   []*host
+	guards  [2]int // the guard that each side's hosts ask
+	later   []later
+	copies  uint64
+	crashes int
+}
+
+var poison = bbtsuspect.Of("kitchen", "/summary", []byte("crashes each endpoint"))
+
+func newFleet(seed uint64) *fleet {
+	f := &fleet{rng: rand.New(rand.NewPCG(seed, 0)), now: time.Unix(0, 0)}
+	for range 4 {
+		h := &host{}
+		h.tracker = bbtsuspect.NewTracker(&h.suspicions)
+		h.guard = bbtsuspect.NewGuard(&h.suspicions)
+		f.hosts = append(f.hosts, h)
+	}
+	return f
+}
+
+// after plans something within d.
+func (f *fleet) after(d time.Duration, do func()) {
+	f.later = append(f.later, later{f.now.Add(time.Duration(f.rng.Int64N(int64(d)))), do})
+}
+
+// run lets time pass while the caller sends through a random host.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(100 * time.Millisecond) {
+		due := f.later
+		f.later = nil
+		for _, l := range due {
+			if l.at.After(f.now) {
+				f.later = append(f.later, l)
+			} else {
+				l.do()
+			}
+		}
+		f.send(f.rng.IntN(len(f.hosts)))
+	}
+}
+
+// send passes a copy through host i if the guard of its side admits it.
+func (f *fleet) send(i int) {
+	h := f.hosts[i]
+	guard := f.hosts[f.guards[h.side]]
+	f.copies++
+	c := bbtsuspect.Copy{Host: bbtfleet.HostID(fmt.Sprint(i)), ID: f.copies}
+	granted := guard.guard.Claim(f.now, bbtsuspect.Claim{Fingerprint: poison, Copy: c}).Treatment
+	if granted == bbtsuspect.Hold || granted == bbtsuspect.Banned {
+		return
+	}
+	died := bbtsuspect.Crash{Endpoint: bbtfleet.EndpointID(fmt.Sprint("llm-", c.ID)), Incarnation: 1}
+	h.tracker.Begin(died.Endpoint, poison)
+	f.after(runTime, func() {
+		f.crashes++
+		f.after(spread, func() {
+			guard.guard.Release(f.now, bbtsuspect.Release{Fingerprint: poison, Copy: c, Crash: &died})
+		})
+		for _, n := range h.tracker.Crashed(f.now, died) {
+			f.tell(h, n)
+		}
+	})
+}
+
+// tell passes a notice to the other hosts of the side.
+func (f *fleet) tell(from *host, n bbtsuspect.Notice) {
+	for _, to := range f.hosts {
+		if to.side == from.side {
+			f.after(spread, func() { to.suspicions.Merge(f.now, n) })
+		}
+	}
+}
+
+// divide cuts the fleet in two; the second side gets a new guard.
+func (f *fleet) divide() {
+	f.hosts[2].side, f.hosts[3].side = 1, 1
+	f.guards[1] = 2
+	f.hosts[2].guard.Unsettle(f.now.Add(unsettled))
+}
+
+// lost returns the most endpoints lost in runs with successive seeds.
+func lost(t *testing.T, run func(f *fleet)) int {
+	t.Helper()
+	most := 0
+	for seed := range uint64(100) {
+		f := newFleet(seed)
+		run(f)
+		most = max(most, f.crashes)
+	}
+	return most
+}
+
+func TestOneRequestTakesDownAtMostTwoEndpoints(t *testing.T) {
+	got := lost(t, func(f *fleet) { f.run(bbtsuspect.SuspicionTime / 2) })
+	if got != bbtsuspect.MaxCrashes {
+		t.Errorf("got %d endpoints lost, want %d", got, bbtsuspect.MaxCrashes)
+	}
+}
+
+func TestBoundHoldsWhenTheGuardChanges(t *testing.T) {
+	got := lost(t, func(f *fleet) {
+		f.run(time.Duration(f.rng.Int64N(int64(runTime))))
+		f.guards[0] = 1
+		f.hosts[1].guard.Unsettle(f.now.Add(unsettled))
+		f.run(bbtsuspect.SuspicionTime / 2)
+	})
+	if got > bbtsuspect.MaxCrashes {
+		t.Errorf("got %d endpoints lost, want at most %d", got, bbtsuspect.MaxCrashes)
+	}
+}
+
+func TestBoundInAPartition(t *testing.T) {
+	noticed := lost(t, func(f *fleet) {
+		f.divide()
+		f.hosts[0].guard.Unsettle(f.now.Add(time.Hour))
+		f.hosts[2].guard.Unsettle(f.now.Add(time.Hour))
+		f.run(bbtsuspect.SuspicionTime / 2)
+	})
+	if noticed > bbtsuspect.MaxCrashes {
+		t.Errorf("got %d endpoints lost, want at most %d", noticed, bbtsuspect.MaxCrashes)
+	}
+	unnoticed := lost(t, func(f *fleet) {
+		f.run(time.Duration(f.rng.Int64N(int64(runTime))))
+		f.divide()
+		f.run(unsettled - spread)
+	})
+	if want := bbtsuspect.MaxCrashes + 1; unnoticed > want {
+		t.Errorf("got %d endpoints lost while one guard does not know of the cut, want at most %d", unnoticed, want)
+	}
+}
+
+func TestBystanderIsClearedByItsAnswer(t *testing.T) {
+	f := newFleet(1)
+	h := f.hosts[0]
+	bystander := bbtsuspect.Of("kitchen", "/label", nil)
+	died := bbtsuspect.Crash{Endpoint: "llm-1", Incarnation: 1}
+	c := bbtsuspect.Copy{Host: "0", ID: 1}
+	claim := bbtsuspect.Claim{Fingerprint: bystander, Copy: c}
+	h.guard.Claim(f.now, claim)
+	h.tracker.Begin("llm-1", bystander)
+	h.tracker.Crashed(f.now, died)
+	h.tracker.Crashed(f.now, died)
+	h.guard.Release(f.now, bbtsuspect.Release{Fingerprint: bystander, Copy: c, Crash: &died})
+	if got := h.guard.Claim(f.now, claim).Treatment; got != bbtsuspect.Alone {
+		t.Errorf("after a crash: got %v, want alone", got)
+	}
+	h.guard.Release(f.now, bbtsuspect.Release{Fingerprint: bystander, Copy: c, Whole: true})
+	for id := range uint64(3) {
+		claim.Copy.ID = id + 2
+		if got := h.guard.Claim(f.now, claim).Treatment; got != bbtsuspect.Free {
+			t.Errorf("after an answer: got %v for copy %d, want free", got, id)
+		}
+	}
+}
+
+func TestSuspicionsAreBoundedAndExpire(t *testing.T) {
+	var s bbtsuspect.Suspicions
+	now := time.Unix(0, 0)
+	endless := bbtsuspect.Notice{Fingerprint: 1, RemainingMS: 1 << 40}
+	for i := range 5000 {
+		endless.Fingerprint = bbtsuspect.Fingerprint(i)
+		s.Merge(now, endless)
+	}
+	if got := s.Len(); got != 1024 {
+		t.Errorf("got %d suspicions, want 1024", got)
+	}
+	if got := len(s.Notices(now)); got != 64 {
+		t.Errorf("got %d notices, want 64", got)
+	}
+	now = now.Add(bbtsuspect.SuspicionTime)
+	if got := len(s.Notices(now)); got != 0 || s.Len() != 0 {
+		t.Errorf("got %d notices and %d suspicions after their time, want none", got, s.Len())
+	}
+}
