--- /dev/null
+++ b/internal/keyrun/faults.go
@@ -0,0 +1,45 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"text/tabwriter"
+
+	"bluebelltray/internal/bbtworld"
+)
+
+// faults prints the verdicts under each kind of fault.
+type faults struct {
+	Seeds uint64 `default:"200" help:"Schedules of each kind."`
+	Hosts int    `default:"4" help:"Entry hosts."`
+	Steps int    `default:"1500" help:"Steps of a schedule."`
+}
+
+// Run prints one row for each kind of fault.
+func (f faults) Run() error {
+	out := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight|tabwriter.Debug)
+	fmt.Fprintln(out, "fault\trequests\tattempts\tanswers\tnot-run\tmay-have-run\tshare\tnever ran\tviolations\t")
+	for kind := bbtworld.Faults(0); kind < bbtworld.All; kind = max(1, 2*kind) {
+		f.row(out, kind)
+	}
+	f.row(out, bbtworld.All)
+	return out.Flush()
+}
+
+// row prints the sum over the schedules of one kind.
+func (f faults) row(out *tabwriter.Writer, kind bbtworld.Faults) {
+	var sum bbtworld.Tally
+	violations := 0
+	for seed := range f.Seeds {
+		w := bbtworld.New(rand.New(rand.NewPCG(seed, uint64(kind))), f.Hosts, kind)
+		w.Run(f.Steps)
+		if w.Err() != nil {
+			violations++
+		}
+		sum.Add(w.Tally())
+	}
+	fmt.Fprintf(out, "%v\t%d\t%d\t%d\t%d\t%d\t%.4f\t%d\t%d\t\n", kind, sum.Requests, sum.Attempts,
+		sum.Answers, sum.NotRun, sum.MayHaveRun,
+		float64(sum.MayHaveRun)/float64(sum.Attempts), sum.Unneeded, violations)
+}
--- /dev/null
+++ b/internal/keyrun/main.go
@@ -0,0 +1,27 @@
+// Command keyrun measures the ways to keep two tickets of one idempotency key
+// apart: the share of first attempts that are refused after each change of the
+// fleet, and the verdicts under each kind of fault. Each run prints the same
+// figures.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+// commands are the tables that can be printed.
+type commands struct {
+	Changes changes `cmd:"" default:"withargs" help:"Refused first attempts after each change of the fleet."`
+	Faults  faults  `cmd:"" help:"Verdicts under each kind of fault."`
+}
+
+func main() {
+	var c commands
+	ctx := kong.Parse(&c, kong.Name("keyrun"), kong.Description("Measures how idempotency keys are kept apart."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
