core/bbthome: a counted first attempt gets its ticket from any host

Now a caller either counts all attempts of a key or none. A counted first attempt gets a ticket from the home or, if that cannot be asked, from the entry host; a counted resend without its ticket gets none, as another host may have issued it. The grace is gone, so that a new home settles for uncounted callers after 10 min 15 s instead of 70 min. Submit gains Uncounted; its zero value is the cautious one.

A request withdrawn because its caller left without a verdict is told apart from one that was refused, so that a counted resend by key gets a fresh ticket and not-run.

--- a/core/bbtexec/call.go
+++ b/core/bbtexec/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtticket"
 )
@@ -16,6 +17,7 @@
 	key         bbtticket.KeyDigest
 	fingerprint uint64
 	first       bool
+	uncounted   bool
 	repeatable  bool
 	origin      origin
 	gone        bool // the caller left; the call only runs on for its ledger entry
@@ -25,6 +27,18 @@
 	asked    time.Time          // when the pending message was sent
 }
 
+// claim returns what the caller says about its attempts.
+func (c *call) claim() bbthome.Claim {
+	switch {
+	case c.first:
+		return bbthome.First
+	case c.uncounted:
+		return bbthome.Uncounted
+	default:
+		return bbthome.Resent
+	}
+}
+
 // origin is the peer that forwarded a call; the zero value is a caller of this
 // host.
 type origin struct {
--- a/core/bbtexec/event.go
+++ b/core/bbtexec/event.go
@@ -24,6 +24,7 @@
 	Key         string // the caller's idempotency key; empty if none
 	Fingerprint uint64 // digest of account, path and body
 	First       bool   // the caller states that it presented no ticket of this request before
+	Uncounted   bool   // the caller does not count its attempts; it never says First
 	Repeatable  bool   // the contract allows the call to be repeated
 }
 
--- a/core/bbtexec/executor.go
+++ b/core/bbtexec/executor.go
@@ -62,11 +62,11 @@
 	case Received:
 		e.received(now, ev)
 	case SendFailed:
-		e.sendFailed(ev)
+		e.sendFailed(now, ev)
 	case PeerSeen:
-		e.peerSeen(ev)
+		e.peerSeen(now, ev)
 	case PeerLost:
-		e.peerLost(ev.Host)
+		e.peerLost(now, ev.Host)
 	case NotSent:
 		e.notSent(ev)
 	case Finished:
--- a/core/bbtexec/key.go
+++ b/core/bbtexec/key.go
@@ -3,26 +3,47 @@
 import (
 	"time"
 
-	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbthome"
+	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtticket"
 	"bluebelltray/core/bbtverdict"
 	"github.com/cockroachdb/errors"
 )
 
-// askHome asks the home of a call's key for a ticket.
+// askHome asks the home of a call's key for a ticket, unless this host knows
+// of one that was presented.
 func (e *Executor) askHome(now time.Time, c *call) {
-	home := e.home.HomeOf(bbthome.NewKey(c.account, c.key))
-	switch home {
-	case "":
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonViewStale))
-	case e.issuer.Host():
-		e.settle(now, c, e.issueKeyed(now, c.account, c.key, c.first))
-	default:
-		e.send(now, c, home, func(r Request) Message {
-			return IssueRequest{Request: r, Account: c.account, Key: c.key, First: c.first}
-		})
+	k := bbthome.NewKey(c.account, c.key)
+	home := e.home.HomeOf(k)
+	_, presented := e.presented(now, k)
+	if presented || home == e.issuer.Host() {
+		e.settle(now, c, e.issueKeyed(now, k, c.claim()))
+		return
+	}
+	if home == "" {
+		e.homeless(now, c, bbtverdict.ReasonViewStale)
+		return
+	}
+	e.send(now, c, home, func(r Request) Message {
+		return IssueRequest{Request: r, Account: c.account, Key: c.key, Claim: c.claim()}
+	})
+}
+
+// homeless goes on with a call whose key's home cannot be asked. A first
+// attempt gets its ticket from this host.
+func (e *Executor) homeless(now time.Time, c *call, r bbtverdict.Reason) {
+	if !c.first {
+		e.refuse(c, mayHaveRun(r))
+		return
 	}
+	e.settle(now, c, e.issueKeyed(now, bbthome.NewKey(c.account, c.key), bbthome.First))
+}
+
+// presented returns the sequence number of the key's newest ticket of this
+// host and whether that ticket was presented and is not void.
+func (e *Executor) presented(now time.Time, k bbthome.Key) (uint64, bool) {
+	seq, known := e.home.Newest(now, k)
+	return seq, known && e.ledger.State(seq, k.Account()).Presented()
 }
 
 // settle ends a call without a ticket by its home's reply, or presents the
@@ -42,35 +63,31 @@
 	})
 }
 
-// issueKeyed answers as the home of a key. Its answer names the key's newest
-// ticket if that was presented; otherwise that ticket becomes void, so that
-// the verdict not-run holds whatever arrives later.
-func (e *Executor) issueKeyed(now time.Time, a bbtfleet.AccountID, d bbtticket.KeyDigest, first bool) IssueReply {
-	k := bbthome.NewKey(a, d)
-	seq, known := e.home.Newest(now, k)
-	if known && e.ledger.State(seq, a).Presented() {
-		return IssueReply{Ticket: e.issuer.Issue(seq, a, d, now), Presented: true}
+// issueKeyed answers a question for a ticket of a key. Its answer names the
+// key's newest ticket if that was presented; otherwise that ticket becomes
+// void, so that the verdict not-run holds whatever arrives later. A ticket that
+// was withdrawn is the last that its caller presented, as the caller was told
+// no verdict that lets it present another.
+func (e *Executor) issueKeyed(now time.Time, k bbthome.Key, c bbthome.Claim) IssueReply {
+	seq, presented := e.presented(now, k)
+	if presented {
+		return IssueReply{Ticket: e.issuer.Issue(seq, k.Account(), k.Digest(), now), Presented: true}
 	}
-	decision := e.home.Decide(now, k, first)
-	switch decision.Permission() {
+	if c == bbthome.Resent && e.ledger.State(seq, k.Account()) == bbtledger.Withdrawn {
+		c = bbthome.First
+	}
+	switch e.home.Decide(now, k, c) {
 	case bbthome.NotHome:
-		return replyOf(notReached(first, bbtverdict.ReasonViewStale))
+		return replyOf(mayHaveRun(bbtverdict.ReasonViewStale))
 	case bbthome.Unsettled:
 		return replyOf(mayHaveRun(bbtverdict.ReasonKeyUnsettled))
 	}
-	if known {
-		e.ledger.Void(seq, a)
-	}
-	if decision.Permission() == bbthome.NotYet {
-		r := notRun(bbtverdict.ReasonViewStale)
-		r.retryAfter = decision.Wait()
-		return replyOf(r)
-	}
-	return e.issueFresh(now, k)
+	e.ledger.Void(seq, k.Account())
+	return e.issueFresh(now, k, c)
 }
 
 // issueFresh issues a ticket for a key whose earlier tickets never ran.
-func (e *Executor) issueFresh(now time.Time, k bbthome.Key) IssueReply {
+func (e *Executor) issueFresh(now time.Time, k bbthome.Key, c bbthome.Claim) IssueReply {
 	if e.draining {
 		return replyOf(notRun(bbtverdict.ReasonDraining))
 	}
@@ -78,7 +95,7 @@
 	if !ok {
 		return replyOf(notRun(bbtverdict.ReasonLedgerFull))
 	}
-	e.home.Remember(now, k, seq)
+	e.home.Remember(now, k, seq, c)
 	r := replyOf(notRun(bbtverdict.ReasonTicketRequired))
 	r.Ticket = e.issuer.Issue(seq, k.Account(), k.Digest(), expiry)
 	return r
--- a/core/bbtexec/outcome.go
+++ b/core/bbtexec/outcome.go
@@ -123,9 +123,9 @@
 	delete(e.calls, c.id)
 }
 
-// abandon voids a waiting request that no caller waits for.
+// abandon withdraws a waiting request that no caller waits for.
 func (e *Executor) abandon(c *call) {
-	e.ledger.Void(c.seq, c.account)
+	e.ledger.Withdraw(c.seq, c.account)
 	ids := e.attached[c.seq]
 	e.detach(c)
 	e.do(Cancel{Call: ids[0]})
--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -6,20 +6,21 @@
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtverdict"
 )
 
 // peerSeen remembers the newest process of a peer and ends the calls that wait
 // for a former one.
-func (e *Executor) peerSeen(ev PeerSeen) {
+func (e *Executor) peerSeen(now time.Time, ev PeerSeen) {
 	if ev.Incarnation <= e.peers[ev.Host] {
 		return
 	}
 	known := e.peers[ev.Host] != 0
 	e.peers[ev.Host] = ev.Incarnation
 	if known {
-		e.peerLost(ev.Host)
+		e.peerLost(now, ev.Host)
 	}
 }
 
@@ -27,7 +28,7 @@
 func (e *Executor) received(now time.Time, ev Received) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
-		r := e.issueKeyed(now, m.Account, m.Key, m.First)
+		r := e.issueKeyed(now, bbthome.NewKey(m.Account, m.Key), m.Claim)
 		r.Request = m.Request
 		e.do(Send{To: ev.From, Message: r})
 	case IssueReply:
@@ -85,7 +86,7 @@
 	}
 	if now.Sub(c.asked) >= IssueTimeout {
 		e.counts.staleReplies++
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		return
 	}
 	e.settle(now, c, m)
@@ -110,29 +111,31 @@
 }
 
 // sendFailed ends the call of a message that did not leave.
-func (e *Executor) sendFailed(ev SendFailed) {
+func (e *Executor) sendFailed(now time.Time, ev SendFailed) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonHomeUnreachable)
+		if c := e.unreached(m.Request.ID); c != nil {
+			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
+		}
 	case ForwardRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonExecutorGone)
+		if c := e.unreached(m.Request.ID); c != nil {
+			e.refuse(c, notReached(c.first, bbtverdict.ReasonExecutorGone))
+		}
 	}
 }
 
-// unreached ends the call of a message that reached nobody.
-func (e *Executor) unreached(id uint64, r bbtverdict.Reason) {
+// unreached returns the call of a message that reached nobody, or nil.
+func (e *Executor) unreached(id uint64) *call {
 	p, ok := e.pending[id]
 	if !ok {
-		return
+		return nil
 	}
 	delete(e.pending, id)
-	if c := e.calls[p.call]; c != nil {
-		e.refuse(c, notReached(c.first, r))
-	}
+	return e.calls[p.call]
 }
 
 // peerLost ends the calls whose reply will not come.
-func (e *Executor) peerLost(h bbtfleet.HostID) {
+func (e *Executor) peerLost(now time.Time, h bbtfleet.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
 		p := e.pending[id]
 		if p.to != h {
@@ -143,7 +146,7 @@
 		switch {
 		case c == nil:
 		case c.ticket == "":
-			e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		default:
 			e.refuse(c, mayHaveRun(bbtverdict.ReasonExecutorGone))
 		}
@@ -186,6 +189,6 @@
 			continue
 		}
 		delete(e.pending, id)
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 	}
 }
--- a/core/bbtexec/submit.go
+++ b/core/bbtexec/submit.go
@@ -18,6 +18,7 @@
 		key:         bbtticket.Digest(s.Account, s.Key),
 		fingerprint: s.Fingerprint,
 		first:       s.First,
+		uncounted:   s.Uncounted,
 		repeatable:  s.Repeatable && s.Ticket == "",
 	}
 	e.calls[c.id] = c
@@ -147,19 +148,16 @@
 	if e.draining {
 		return r
 	}
-	if c.key != 0 {
-		k := bbthome.NewKey(c.account, c.key)
-		newest, known := e.home.Newest(now, k)
-		if !known || newest != c.seq || e.home.Decide(now, k, false).Permission() != bbthome.Allowed {
-			return r
-		}
+	k := bbthome.NewKey(c.account, c.key)
+	if c.key != 0 && !e.home.Renewable(now, k, c.seq) {
+		return r
 	}
 	seq, expiry, ok := e.ledger.Issue(now, c.account)
 	if !ok {
 		return r
 	}
 	if c.key != 0 {
-		e.home.Remember(now, bbthome.NewKey(c.account, c.key), seq)
+		e.home.Renew(now, k, seq)
 	}
 	r.ticket = e.issuer.Issue(seq, c.account, c.key, expiry)
 	return r
--- a/core/bbtexec/wire.go
+++ b/core/bbtexec/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtticket"
 	"bluebelltray/core/bbtverdict"
 )
@@ -22,7 +23,7 @@
 	Request Request             `cbor:"1,keyasint"`
 	Account bbtfleet.AccountID  `cbor:"2,keyasint"`
 	Key     bbtticket.KeyDigest `cbor:"3,keyasint"`
-	First   bool                `cbor:"4,keyasint,omitempty"`
+	Claim   bbthome.Claim       `cbor:"4,keyasint,omitempty"`
 }
 
 // IssueReply answers an IssueRequest.
--- a/core/bbthome/decision.go
+++ b/core/bbthome/decision.go
@@ -7,17 +7,14 @@
 
 // The permissions. The zero value is the cautious one.
 const (
-	Unsettled Permission = iota // an earlier ticket may have run
-	NotYet                      // no earlier ticket ran, but none can be issued now
+	Unsettled Permission = iota // another ticket may have run
 	NotHome                     // this host's view names another home
-	Allowed                     // a ticket may be issued
+	Allowed                     // no other ticket can run
 )
 
 // String returns the permission's name in kebab case.
 func (p Permission) String() string {
 	switch p {
-	case NotYet:
-		return "not-yet"
 	case NotHome:
 		return "not-home"
 	case Allowed:
@@ -27,54 +24,46 @@
 	}
 }
 
-// Decision is a permission and, with NotYet, the time until it may change.
-type Decision struct {
-	permission Permission
-	wait       time.Duration
-}
-
-// Permission returns whether a ticket may be issued.
-func (d Decision) Permission() Permission { return d.permission }
-
-// Wait returns the time until a permission NotYet may change; zero if unknown.
-func (d Decision) Wait() time.Duration { return d.wait }
-
 // Decide says whether a ticket may be issued for a key none of whose tickets
-// from this host was presented. First says that the caller states that it
-// never presented a ticket of this key.
-func (h *Home) Decide(now time.Time, k Key, first bool) Decision {
-	since, home := h.since(k)
-	if !home {
-		return Decision{permission: NotHome}
-	}
-	age := now.Sub(since)
-	if first {
-		return h.decideFirst(now, age)
-	}
-	if age < h.Settle() && !h.knows(k, since) {
-		return Decision{permission: Unsettled}
-	}
-	if age < h.Overlap() || now.Sub(h.confirmed) >= h.lease {
-		return Decision{permission: Unsettled}
+// from this host was presented. A first attempt may get one anywhere and at
+// any time, as none can have run. A resend gets none, as its caller may have
+// presented one of another host. Only for a caller that does not count does
+// the home's memory decide.
+func (h *Home) Decide(now time.Time, k Key, c Claim) Permission {
+	switch c {
+	case First:
+		return Allowed
+	case Uncounted:
+		return h.decideUncounted(now, k)
+	default:
+		return Unsettled
 	}
-	return Decision{permission: Allowed}
 }
 
-// decideFirst decides for a caller that never presented a ticket of the key.
-func (h *Home) decideFirst(now time.Time, age time.Duration) Decision {
-	if age < h.Overlap() {
-		return Decision{permission: NotYet, wait: h.Overlap() - age}
-	}
-	if now.Sub(h.confirmed) >= h.lease+h.grace {
-		return Decision{permission: NotYet}
+// decideUncounted decides by what the home can know.
+func (h *Home) decideUncounted(now time.Time, k Key) Permission {
+	since, home := h.since(k)
+	r, known := h.records[k]
+	switch age := now.Sub(since); {
+	case !home:
+		return NotHome
+	case known && r.counted:
+		return Unsettled
+	case now.Sub(h.confirmed) >= h.lease || age < h.Overlap():
+		return Unsettled
+	case age < h.Settle() && (!known || r.issued.Before(since)):
+		return Unsettled
 	}
-	return Decision{permission: Allowed}
+	return Allowed
 }
 
-// knows reports whether this host issued a ticket of the key after each former
-// home had stopped to issue any. An earlier one may have been followed by
-// another of a former home to a caller that lost the first.
-func (h *Home) knows(k Key, since time.Time) bool {
-	r, ok := h.records[k]
-	return ok && r.issued.Sub(since) >= h.Sole()
+// Renewable reports whether a fresh ticket may take the place of one that is
+// void.
+func (h *Home) Renewable(now time.Time, k Key, sequence uint64) bool {
+	h.Expire(now)
+	r, known := h.records[k]
+	if !known || r.sequence != sequence {
+		return false
+	}
+	return r.counted || h.decideUncounted(now, k) == Allowed
 }
--- a/core/bbthome/home.go
+++ b/core/bbthome/home.go
@@ -1,8 +1,10 @@
 // Package bbthome decides whether a host may issue a ticket for a client
 // account's idempotency key, so that no two tickets of one key can both be
-// dispatched. The key's home, found by rendezvous hashing over the host list,
-// alone issues its tickets and remembers them; a host that became home a short
-// time ago cannot know of earlier ones and says so.
+// dispatched. A caller that counts its attempts gets its first ticket from any
+// host, and none later unless that one is known not to have run. For callers
+// that do not count, the key's home, found by rendezvous hashing over the host
+// list, alone issues tickets and remembers them; a host that became home a
+// short time ago cannot know of earlier ones and says so.
 package bbthome
 
 import (
@@ -19,7 +21,6 @@
 	rank   Rank
 	lag    time.Duration
 	lease  time.Duration
-	grace  time.Duration
 	window time.Duration
 	drift  float64
 
@@ -57,7 +58,6 @@
 		rank:    rank,
 		lag:     DefaultLag,
 		lease:   DefaultLease,
-		grace:   DefaultGrace,
 		window:  DefaultWindow,
 		drift:   DefaultDrift,
 		records: make(map[Key]record),
--- a/core/bbthome/option.go
+++ b/core/bbthome/option.go
@@ -6,7 +6,6 @@
 const (
 	DefaultLag    = 10 * time.Second
 	DefaultLease  = 5 * time.Second
-	DefaultGrace  = time.Hour
 	DefaultWindow = 10 * time.Minute
 	DefaultDrift  = 0.001
 )
@@ -24,13 +23,9 @@
 func WithLag(d time.Duration) Option { return func(h *Home) { h.lag = d } }
 
 // WithLease sets how long after the read that confirmed its view a host may
-// issue a ticket to a caller that does not say that it is its first.
+// issue a ticket to a caller that does not count its attempts.
 func WithLease(d time.Duration) Option { return func(h *Home) { h.lease = d } }
 
-// WithGrace sets how much longer than the lease a host may issue a ticket to a
-// caller that says that it is its first.
-func WithGrace(d time.Duration) Option { return func(h *Home) { h.grace = d } }
-
 // WithWindow sets how long a key is remembered after its newest ticket.
 // Callers must not resend a key later than that.
 func WithWindow(d time.Duration) Option { return func(h *Home) { h.window = d } }
@@ -38,16 +33,13 @@
 // WithDrift sets the bound on the relative rate of two hosts' clocks.
 func WithDrift(f float64) Option { return func(h *Home) { h.drift = f } }
 
-// Overlap returns the time for which a former home may still issue tickets to
-// unmarked requests after another host learnt of its own role.
+// Overlap returns the time for which a former home may still issue tickets
+// after another host learnt of its own role.
 func (h *Home) Overlap() time.Duration { return h.stretch(h.lag + h.lease) }
 
-// Sole returns the time after which no former home issues a ticket any more.
-func (h *Home) Sole() time.Duration { return h.stretch(h.lag + h.lease + h.grace) }
-
 // Settle returns the time after which a new home knows of each ticket whose
 // key may still be resent.
-func (h *Home) Settle() time.Duration { return h.stretch(h.lag + h.lease + h.grace + h.window) }
+func (h *Home) Settle() time.Duration { return h.stretch(h.lag + h.lease + h.window) }
 
 // stretch lengthens d so that it lasts at least d on any host's clock.
 func (h *Home) stretch(d time.Duration) time.Duration {
--- a/core/bbthome/record.go
+++ b/core/bbthome/record.go
@@ -6,6 +6,7 @@
 type record struct {
 	sequence uint64
 	issued   time.Time
+	counted  bool // its caller counts its attempts
 }
 
 // remembered is a key in the order of its tickets' issue.
@@ -16,11 +17,20 @@
 
 // Remember records the newest ticket of a key by its sequence number. All
 // earlier tickets of the key that this host issued must be void.
-func (h *Home) Remember(now time.Time, k Key, sequence uint64) {
-	h.records[k] = record{sequence: sequence, issued: now}
+func (h *Home) Remember(now time.Time, k Key, sequence uint64, c Claim) {
+	h.records[k] = record{sequence: sequence, issued: now, counted: c != Uncounted}
 	h.order = append(h.order, remembered{key: k, issued: now})
 }
 
+// Renew records that a fresh ticket took the place of the key's newest.
+func (h *Home) Renew(now time.Time, k Key, sequence uint64) {
+	c := Uncounted
+	if h.records[k].counted {
+		c = First
+	}
+	h.Remember(now, k, sequence, c)
+}
+
 // Newest returns the sequence number of the key's newest ticket and whether
 // the key is remembered.
 func (h *Home) Newest(now time.Time, k Key) (uint64, bool) {
--- a/core/bbtledger/state.go
+++ b/core/bbtledger/state.go
@@ -18,6 +18,7 @@
 	Finished                 // its whole answer is held
 	Evicted                  // it ran, and its answer is no longer held
 	Void                     // it never ran and never will
+	Withdrawn                // as void, after its only callers left without a verdict
 )
 
 // String returns the state's name in kebab case.
@@ -35,6 +36,8 @@
 		return "evicted"
 	case Void:
 		return "void"
+	case Withdrawn:
+		return "withdrawn"
 	default:
 		return "unknown"
 	}
@@ -44,7 +47,7 @@
 // Waiting say not run for this moment only; a refusal must void the ticket.
 func (s State) Verdict() bbtverdict.Verdict {
 	switch s {
-	case Issued, Waiting, Void:
+	case Issued, Waiting, Void, Withdrawn:
 		return bbtverdict.NotRun
 	case Finished, Evicted:
 		return bbtverdict.Ran
@@ -55,4 +58,4 @@
 
 // Presented reports whether a ticket in this state was presented and is not
 // void: it waits, runs, ran, or may have run.
-func (s State) Presented() bool { return s != Issued && s != Void }
+func (s State) Presented() bool { return s != Issued && s != Void && s != Withdrawn }
--- a/core/bbtledger/transition.go
+++ b/core/bbtledger/transition.go
@@ -15,6 +15,9 @@
 	if e == nil {
 		return Unknown, true
 	}
+	if e.state == Withdrawn {
+		e.state = Void
+	}
 	if e.state != Issued {
 		return e.state, e.state == Void || e.fingerprint == fingerprint
 	}
@@ -85,12 +88,19 @@
 	if e == nil {
 		return false
 	}
-	if e.state == Issued || e.state == Waiting {
+	if !e.state.Presented() || e.state == Waiting {
 		e.state = Void
 	}
 	return e.state == Void
 }
 
+// Withdraw makes sure that a waiting ticket whose callers all left never runs.
+func (l *Ledger) Withdraw(seq uint64, account bbtfleet.AccountID) {
+	if e := l.lookup(seq, account); e != nil && e.state == Waiting {
+		e.state = Withdrawn
+	}
+}
+
 // Answer returns the finished answer of an account's ticket and whether it is
 // held.
 func (l *Ledger) Answer(seq uint64, account bbtfleet.AccountID) (Answer, bool) {
--- a/internal/bbtworld/caller.go
+++ b/internal/bbtworld/caller.go
@@ -20,7 +20,7 @@
 	id        int
 	account   bbtfleet.AccountID
 	key       string // empty if the caller uses none
-	marked    bool   // the caller says which attempt is its first
+	counted   bool   // the caller counts its attempts
 	ticket    string
 	presented bool // a ticket was presented and not proved void since
 	sent      bool
@@ -38,9 +38,9 @@
 func (w *World) offer() {
 	r := &request{id: len(w.requests), began: w.now}
 	r.account = bbtfleet.AccountID(fmt.Sprintf("account-%d", w.choose.IntN(accounts)))
+	r.counted = w.chance(2)
 	if !w.chance(4) {
 		r.key = fmt.Sprintf("key-%d", r.id)
-		r.marked = w.chance(2)
 	}
 	w.requests = append(w.requests, r)
 	w.tally.Requests++
@@ -64,7 +64,7 @@
 	w.nextCall++
 	r.at, r.inc, r.call = n, n.inc, w.nextCall
 	n.calls[r.call] = r
-	first := r.marked && !r.presented
+	first := r.counted && !r.presented
 	if r.ticket != "" {
 		r.presented = true
 	}
@@ -75,6 +75,7 @@
 		Key:         r.key,
 		Fingerprint: uint64(r.id),
 		First:       first,
+		Uncounted:   !r.counted,
 	}
 	if n.paused {
 		r.at = nil // the caller waits in vain
--- a/internal/keyrun/changes.go
+++ b/internal/keyrun/changes.go
@@ -172,8 +172,8 @@
 			do()
 		}
 		for range perSecond {
-			key, home := f.attempt()
-			if home == nil || !w.serve(f, key, home) {
+			key, entry, home := f.attempt()
+			if !w.serve(f, key, entry, home) {
 				refused++
 				minute++
 				r.until = second + time.Second
--- a/internal/keyrun/fleet.go
+++ b/internal/keyrun/fleet.go
@@ -130,17 +130,17 @@
 	}
 }
 
-// attempt offers a request with a new key to a random host and returns the
+// attempt offers a request with a new key to a random host and returns that
 // host and the key's home, which is nil if it cannot be reached.
-func (f *fleet) attempt() (key bbthome.Key, home *process) {
+func (f *fleet) attempt() (key bbthome.Key, entry, home *process) {
 	live := slices.DeleteFunc(slices.Clone(f.hosts), func(p *process) bool { return !p.able() })
-	entry := live[f.rng.IntN(len(live))]
+	entry = live[f.rng.IntN(len(live))]
 	key = bbthome.NewKey(account, digest(f.rng.Uint64()))
 	p := f.byID[entry.home.HomeOf(key)]
 	if p == nil || !f.reach(entry, p) {
-		return key, nil
+		return key, entry, nil
 	}
-	return key, p
+	return key, entry, p
 }
 
 // reach reports whether two processes can exchange messages.
--- a/internal/keyrun/way.go
+++ b/internal/keyrun/way.go
@@ -11,41 +11,40 @@
 // way is one way to keep the tickets of a key apart.
 type way struct {
 	name  string
-	serve func(f *fleet, k bbthome.Key, home *process) bool
+	serve func(f *fleet, k bbthome.Key, entry, home *process) bool
 }
 
-// ways are those weighed. Quarantine and attempt are the product's own code;
-// the others are models at the level of who remembers what.
+// ways are those weighed. Counted and uncounted are the product's own code; the
+// others are models, at the level of who remembers what, of callers that do
+// not count.
 var ways = []way{
-	{"quarantine", quarantine},
-	{"attempt", attempt},
+	{"counted", counted},
+	{"uncounted", uncounted},
 	{"ask-former", askFormer},
-	{"attempt+ask", attemptAsk},
 	{"two-homes", twoHomes},
 }
 
 // digest returns a key's digest.
 func digest(n uint64) bbtticket.KeyDigest { return bbtticket.KeyDigest(max(n, 1)) }
 
-// quarantine serves callers that say nothing about the attempt: a new home
-// waits until no earlier ticket can be resent.
-func quarantine(f *fleet, k bbthome.Key, home *process) bool {
-	return home.home.Decide(f.now, k, false).Permission() == bbthome.Allowed
+// counted serves callers that count their attempts: any host issues the ticket
+// of a first attempt.
+func counted(f *fleet, k bbthome.Key, entry, _ *process) bool {
+	return entry.home.Decide(f.now, k, bbthome.First) == bbthome.Allowed
 }
 
-// attempt serves callers that mark their first attempt.
-func attempt(f *fleet, k bbthome.Key, home *process) bool {
-	return home.home.Decide(f.now, k, true).Permission() == bbthome.Allowed
+// uncounted serves callers that do not count: a new home waits until no
+// earlier ticket can be resent.
+func uncounted(f *fleet, k bbthome.Key, _, home *process) bool {
+	return home != nil && home.home.Decide(f.now, k, bbthome.Uncounted) == bbthome.Allowed
 }
 
-// askFormer is quarantine, and a new home asks each former one.
-func askFormer(f *fleet, k bbthome.Key, home *process) bool {
-	return quarantine(f, k, home) || f.formersAnswer(k, home, home.home.Settle())
-}
-
-// attemptAsk is attempt, and a new home asks those that may still issue.
-func attemptAsk(f *fleet, k bbthome.Key, home *process) bool {
-	return attempt(f, k, home) || f.formersAnswer(k, home, home.home.Overlap())
+// askFormer is uncounted, and a new home asks each former one.
+func askFormer(f *fleet, k bbthome.Key, entry, home *process) bool {
+	if home == nil {
+		return false
+	}
+	return uncounted(f, k, entry, home) || f.formersAnswer(k, home, home.home.Settle())
 }
 
 // formersAnswer reports whether each process that was home of the key during
@@ -80,16 +79,16 @@
 	return former == home || f.reach(home, former)
 }
 
-// twoHomes serves unmarked callers if both homes agree and one of them has
-// been a home of the key for the whole window. It needs no grace and no lease.
-func twoHomes(f *fleet, k bbthome.Key, home *process) bool {
+// twoHomes serves a caller if both homes agree and one of them has been a home
+// of the key for the whole window. It needs no lease.
+func twoHomes(f *fleet, k bbthome.Key, entry, home *process) bool {
 	newest := f.lists[len(f.lists)-1].view
 	a, b := topTwo(newest.Hosts(), uint64(k.Digest()))
 	p, q := f.byID[a], f.byID[b]
 	if !f.reach(p, q) || p.home.Revision() != newest.Revision() || q.home.Revision() != newest.Revision() {
 		return false
 	}
-	return home.able() && (f.wasInPair(k, p) || f.wasInPair(k, q))
+	return home != nil && f.reach(entry, home) && (f.wasInPair(k, p) || f.wasInPair(k, q))
 }
 
 // wasInPair reports whether the process was one of the key's two homes in each
