core/bbthome: one time to settle for callers that do not count

Tests added for what had none: a counted key is not issued to an uncounted resend, only the newest ticket of a key runs and gets no successor beside it, a counted resend after its caller left gets a fresh ticket, an entry host issues for a home that is cut off and answers the resend.

--- a/core/bbtexec/once_test.go
+++ b/core/bbtexec/once_test.go
@@ -129,6 +129,47 @@
 	}
 }
 
+func TestCountedResendAfterItsCallerLeft(t *testing.T) {
+	p := newPair(t)
+	asked := p.submit(p.b, bbtexec.Submit{Key: "booking-1", First: true})
+	id := p.submit(p.b, bbtexec.Submit{Ticket: p.refusals[asked].Ticket, First: true})
+	p.step(p.b, bbtexec.CallerGone{Call: id})
+	resent := p.submit(p.b, bbtexec.Submit{Key: "booking-1"})
+	p.wantRefusal(resent, bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+	p.start(p.refusals[resent].Ticket)
+	p.wantRuns(2)
+}
+
+func TestOnlyTheNewestTicketOfAKeyRuns(t *testing.T) {
+	p := newPair(t)
+	lost := p.submit(p.b, bbtexec.Submit{Key: "booking-1", Uncounted: true})
+	newest := p.submit(p.b, bbtexec.Submit{Key: "booking-1", Uncounted: true})
+	former := p.submit(p.a, bbtexec.Submit{Ticket: p.refusals[lost].Ticket})
+	p.wantRefusal(former, bbtverdict.NotRun, bbtverdict.ReasonTicketVoid)
+	if got := p.refusals[former].Ticket; got != "" {
+		t.Errorf("got ticket %q beside the newest, want none", got)
+	}
+	p.start(p.refusals[newest].Ticket)
+	p.wantRuns(1)
+}
+
+func TestEntryHostIssuesWhenTheHomeIsCutOff(t *testing.T) {
+	p := newPair(t)
+	p.hold = true
+	asked := p.submit(p.b, bbtexec.Submit{Key: "booking-1", First: true})
+	p.step(p.b, bbtexec.SendFailed{To: "a", Message: p.held[0].Message})
+	p.hold = false
+	id := p.submit(p.b, bbtexec.Submit{Ticket: p.refusals[asked].Ticket, First: true})
+	resent := p.submit(p.b, bbtexec.Submit{Key: "booking-1"})
+	elsewhere := p.submit(p.a, bbtexec.Submit{Key: "booking-1"})
+	p.wantRefusal(elsewhere, bbtverdict.MayHaveRun, bbtverdict.ReasonKeyUnsettled)
+	d, _ := p.b.Dispatch(p.now, id)
+	booked := bbtledger.NewAnswer(200, "", []byte("booked"))
+	p.step(p.b, bbtexec.Finished{Call: id, Dispatch: d, Answer: booked})
+	p.wantAnswer(resent, "booked")
+	p.wantRuns(1)
+}
+
 func TestForwardedCallerGone(t *testing.T) {
 	p := newPair(t)
 	ticket := p.ticket(p.a)
--- a/core/bbthome/decision.go
+++ b/core/bbthome/decision.go
@@ -43,15 +43,12 @@
 // decideUncounted decides by what the home can know.
 func (h *Home) decideUncounted(now time.Time, k Key) Permission {
 	since, home := h.since(k)
-	r, known := h.records[k]
-	switch age := now.Sub(since); {
+	switch {
 	case !home:
 		return NotHome
-	case known && r.counted:
-		return Unsettled
-	case now.Sub(h.confirmed) >= h.lease || age < h.Overlap():
+	case now.Sub(h.confirmed) >= h.lease || now.Sub(since) < h.Settle():
 		return Unsettled
-	case age < h.Settle() && (!known || r.issued.Before(since)):
+	case h.records[k].counted:
 		return Unsettled
 	}
 	return Allowed
--- a/core/bbthome/option.go
+++ b/core/bbthome/option.go
@@ -33,12 +33,10 @@
 // WithDrift sets the bound on the relative rate of two hosts' clocks.
 func WithDrift(f float64) Option { return func(h *Home) { h.drift = f } }
 
-// Overlap returns the time for which a former home may still issue tickets
-// after another host learnt of its own role.
-func (h *Home) Overlap() time.Duration { return h.stretch(h.lag + h.lease) }
-
 // Settle returns the time after which a new home knows of each ticket whose
-// key may still be resent.
+// key may still be resent: the former home may have read the list as late as
+// the lag allows, issued a ticket at the end of its lease, and the caller may
+// resend until the end of the window.
 func (h *Home) Settle() time.Duration { return h.stretch(h.lag + h.lease + h.window) }
 
 // stretch lengthens d so that it lasts at least d on any host's clock.
--- a/core/bbthome/worst_test.go
+++ b/core/bbthome/worst_test.go
@@ -8,6 +8,19 @@
 	"bluebelltray/core/bbthome"
 )
 
+func TestCountedKeyIsNotIssuedToUncountedResend(t *testing.T) {
+	f := newFleet(1)
+	h := f.homes[0]
+	list := bbtfleet.NewHostList(1, []bbtfleet.Host{bbtfleet.NewHost(host(0), "edin-a")})
+	h.Confirm(f.now, f.now, bbthome.NewView(list))
+	f.now = f.now.Add(time.Hour)
+	h.Confirm(f.now, f.now, bbthome.NewView(list))
+	h.Remember(f.now, key, 1, bbthome.First)
+	if got := h.Decide(f.now, key, bbthome.Uncounted); got != bbthome.Unsettled {
+		t.Errorf("got %v, want unsettled", got)
+	}
+}
+
 // The former home reads the list as late as the lag allows and issues at the
 // end of its lease; the resend comes at the end of the window, on the fastest
 // clock.
