core/bbtlimit: ask for what a request needs, home after home

Cause: grants below a request's need were held and expired unused; a request that came shortly after a round of asks was refused though its homes had credit; credit was asked ahead for demand that was one long request.

--- a/core/bbtlimit/account.go
+++ b/core/bbtlimit/account.go
@@ -17,14 +17,16 @@
 	asks     []ask             // waiting for their grants
 	asked    time.Time         // the last round
 	turn     int               // the home that the next round starts at
+	misses   int               // asks of this round that brought less than was asked for
 	used     time.Time
 }
 
 // ask is an ask that waits for its grant.
 type ask struct {
-	id uint32
-	to bbtfleet.HostID
-	at time.Time
+	id   uint32
+	to   bbtfleet.HostID
+	at   time.Time
+	want need
 }
 
 // update brings the account up to the contract and the hosts in force.
@@ -48,22 +50,67 @@
 
 // prune drops the asks that have waited too long.
 func (a *account) prune(now time.Time) {
+	before := len(a.asks)
 	a.asks = slices.DeleteFunc(a.asks, func(k ask) bool { return now.Sub(k.at) >= AskTimeout })
+	a.misses += before - len(a.asks)
 }
 
 // answer takes the ask that a grant answers, and reports whether there is one.
-func (a *account) answer(now time.Time, id uint32, from bbtfleet.HostID) bool {
+func (a *account) answer(now time.Time, id uint32, from bbtfleet.HostID, granted need) bool {
 	a.prune(now)
 	i := slices.IndexFunc(a.asks, func(k ask) bool { return k.id == id && k.to == from })
 	if i < 0 {
 		return false
 	}
+	want := a.asks[i].want
+	if granted.requests < want.requests || granted.tokens < want.tokens {
+		a.misses++
+	}
 	a.asks = slices.Delete(a.asks, i, i+1)
 	return true
 }
 
+// reach returns how many homes are asked in one round.
+func (a *account) reach() int { return min(len(a.others), AskFanout) }
+
+// dry reports whether all homes asked in this round gave less than was asked
+// for.
+func (a *account) dry() bool { return a.misses >= a.reach() }
+
+// mayAsk reports whether a home may be asked now: when a new round may start,
+// or when some of the round's homes are still to be asked.
+func (a *account) mayAsk(now time.Time) bool {
+	if len(a.asks) > 0 || len(a.others) == 0 {
+		return false
+	}
+	return a.misses > 0 && !a.dry() || !now.Before(a.nextRound())
+}
+
+// nextRound returns when the next round of asks may start.
+func (a *account) nextRound() time.Time { return a.asked.Add(AskPeriod) }
+
 // idle reports whether the account can be forgotten.
 func (a *account) idle(now time.Time) bool {
 	a.prune(now)
 	return now.Sub(a.used) >= IdleTime && len(a.asks) == 0 && a.requests.full(now) && a.tokens.full(now)
 }
+
+// missing returns what is lacking to admit a request.
+func (a *account) missing(now time.Time, tokens int) need {
+	return need{
+		requests: a.requests.missing(now, oneRequest),
+		tokens:   a.tokens.missing(now, float64(tokens)),
+	}
+}
+
+// want returns what to ask other hosts for: what is missing, and, if more
+// requests are to be expected while the credit can be held, what they need.
+func (a *account) want(now time.Time, missing need, tokens int) need {
+	if a.requests.demandAt(now)*Hold.Seconds() < 1 {
+		return missing
+	}
+	return need{
+		requests: max(missing.requests, a.requests.ahead(now, oneRequest)),
+		tokens:   max(missing.tokens, a.tokens.ahead(now, float64(tokens))),
+	}
+}
--- a/core/bbtlimit/admit.go
+++ b/core/bbtlimit/admit.go
@@ -22,30 +22,31 @@
 	a.used = now
 	a.requests.count(now, oneRequest)
 	a.tokens.count(now, float64(tokens))
-	d := l.decide(now, a, tokens)
-	if d.outcome != Refused {
+	if d := l.decide(now, a, tokens); d.outcome != Refused {
 		return d
 	}
 	a.prune(now)
-	if len(a.asks) == 0 {
-		d.sends = l.ask(now, a, tokens)
+	if a.mayAsk(now) {
+		return l.waitOr(now, a, tokens, l.ask(now, a, tokens))
 	}
-	return l.waitOr(d, a)
+	return l.waitOr(now, a, tokens, nil)
 }
 
-// Resume decides a request again for which Admit said Waiting. It waits on for
-// grants that may still come, but asks for no more.
+// Resume decides a request again for which Admit said Waiting. It asks for more
+// only while the account's homes grant what they are asked for.
 func (l *Limiter) Resume(now time.Time, id bbtfleet.AccountID, tokens int) Decision {
 	a := l.account(now, id)
 	if a == nil {
 		return Decision{reason: bbtverdict.ReasonUnknownAccount}
 	}
-	d := l.decide(now, a, tokens)
-	if d.outcome != Refused {
+	if d := l.decide(now, a, tokens); d.outcome != Refused {
 		return d
 	}
 	a.prune(now)
-	return l.waitOr(d, a)
+	if a.mayAsk(now) && !a.dry() {
+		return l.waitOr(now, a, tokens, l.ask(now, a, tokens))
+	}
+	return l.waitOr(now, a, tokens, nil)
 }
 
 // Settle corrects the tokens of an admitted request once it is known how many
@@ -63,10 +64,8 @@
 
 // decide admits the request if its credit is there.
 func (l *Limiter) decide(now time.Time, a *account, tokens int) Decision {
-	requests := a.requests.missing(now, oneRequest)
-	lacking := a.tokens.missing(now, float64(tokens))
-	if requests > 0 || lacking > 0 {
-		return l.refuse(a, requests, lacking)
+	if a.missing(now, tokens) != (need{}) {
+		return Decision{}
 	}
 	a.requests.spend(now, oneRequest)
 	a.tokens.spend(now, float64(tokens))
@@ -74,21 +73,27 @@
 	return Decision{outcome: Admitted}
 }
 
-// waitOr returns the decision to wait while asks are out, and else the refusal.
-func (l *Limiter) waitOr(refusal Decision, a *account) Decision {
-	if len(a.asks) == 0 {
+// waitOr returns the decision to wait for grants or for the next round of asks,
+// or the refusal if neither is of use.
+func (l *Limiter) waitOr(now time.Time, a *account, tokens int, sends []Send) Decision {
+	d := Decision{outcome: Waiting, sends: sends}
+	switch {
+	case len(a.asks) > 0:
+		d.until = a.asks[len(a.asks)-1].at.Add(AskTimeout)
+	case !a.dry() && now.Before(a.nextRound()):
+		d.until = a.nextRound()
+	default:
 		l.stats.Refused++
-		return refusal
+		return l.refuse(a, a.missing(now, tokens))
 	}
-	last := a.asks[len(a.asks)-1]
-	return Decision{outcome: Waiting, until: last.at.Add(AskTimeout), sends: refusal.sends}
+	return d
 }
 
-// refuse returns the refusal for want of the given credit.
-func (l *Limiter) refuse(a *account, requests, tokens credit) Decision {
+// refuse returns the refusal for want of the missing credit.
+func (l *Limiter) refuse(a *account, missing need) Decision {
 	part := l.placement.part
-	d := Decision{reason: bbtverdict.ReasonRequestRate, retryAfter: a.requests.wait(requests, part)}
-	if wait := a.tokens.wait(tokens, part); requests == 0 || wait > d.retryAfter {
+	d := Decision{reason: bbtverdict.ReasonRequestRate, retryAfter: a.requests.wait(missing.requests, part)}
+	if wait := a.tokens.wait(missing.tokens, part); missing.requests == 0 || wait > d.retryAfter {
 		d.reason = bbtverdict.ReasonTokenRate
 		d.retryAfter = wait
 	}
--- a/core/bbtlimit/exchange.go
+++ b/core/bbtlimit/exchange.go
@@ -6,31 +6,47 @@
 	"bluebelltray/core/bbtfleet"
 )
 
-// ask starts a round of asks for the account unless the last one was a short
-// time ago, and returns the messages.
+// ask asks homes of the account for credit and returns the messages. If the
+// demand calls for credit ahead, all homes of a round are asked for a part of
+// it; else one home after another is asked for what is missing.
 func (l *Limiter) ask(now time.Time, a *account, tokens int) []Send {
-	n := min(len(a.others), AskFanout)
-	if n == 0 || !a.asked.IsZero() && now.Sub(a.asked) < AskPeriod {
-		return nil
+	if !now.Before(a.nextRound()) {
+		a.asked = now
+		a.misses = 0
 	}
-	requests := a.requests.want(now, oneRequest)
-	credits := a.tokens.want(now, float64(tokens))
-	a.asked = now
+	missing := a.missing(now, tokens)
+	want := a.want(now, missing, tokens)
+	n := 1
+	if want != missing {
+		n = a.reach()
+	}
+	want = want.share(n)
 	var sends []Send
 	for range n {
 		if !l.mayAsk(now, a) {
+			a.misses = a.reach()
 			break
 		}
-		to := a.others[a.turn%len(a.others)]
-		a.turn++
-		l.nextID++
-		a.asks = append(a.asks, ask{id: l.nextID, to: to, at: now})
-		k := Ask{ID: l.nextID, Account: string(a.id), Requests: share(requests, n), Tokens: share(credits, n)}
-		sends = append(sends, Send{To: to, Message: Message{Asks: []Ask{k}}})
+		sends = append(sends, l.askOne(now, a, want, missing, n == 1))
 	}
 	return sends
 }
 
+// askOne asks the account's next home. If the home is the only one asked, it is
+// told what is needed.
+func (l *Limiter) askOne(now time.Time, a *account, want, missing need, only bool) Send {
+	to := a.others[a.turn%len(a.others)]
+	a.turn++
+	l.nextID++
+	a.asks = append(a.asks, ask{id: l.nextID, to: to, at: now, want: want})
+	k := Ask{ID: l.nextID, Account: string(a.id), Requests: uint64(want.requests), Tokens: uint64(want.tokens)}
+	if only {
+		k.NeededRequests = uint64(missing.requests)
+		k.NeededTokens = uint64(missing.tokens)
+	}
+	return Send{To: to, Message: Message{Asks: []Ask{k}}}
+}
+
 // mayAsk takes an ask out of the host's budget. Accounts with several homes
 // leave half of the budget's burst to the others, so that a few large accounts
 // cannot spend all of it.
@@ -47,9 +63,6 @@
 	return true
 }
 
-// share returns one of n equal parts of a credit, rounded up.
-func share(c credit, n int) uint64 { return uint64((c + credit(n) - 1) / credit(n)) }
-
 // Receive takes a message of another host. It returns the messages to be sent
 // and the accounts whose waiting requests can be resumed.
 func (l *Limiter) Receive(now time.Time, from bbtfleet.HostID, m Message) ([]Send, []bbtfleet.AccountID) {
@@ -78,24 +91,26 @@
 		return Grant{}, false
 	}
 	a.used = now
-	return Grant{
-		ID:       k.ID,
-		Account:  k.Account,
-		Requests: uint64(a.requests.lend(now, bounded(k.Requests))),
-		Tokens:   uint64(a.tokens.lend(now, bounded(k.Tokens))),
-	}, true
+	g := Grant{ID: k.ID, Account: k.Account}
+	requests, tokens := bounded(k.NeededRequests), bounded(k.NeededTokens)
+	if a.requests.spares(now, requests) && a.tokens.spares(now, tokens) {
+		g.Requests = uint64(a.requests.lend(now, bounded(k.Requests), requests))
+		g.Tokens = uint64(a.tokens.lend(now, bounded(k.Tokens), tokens))
+	}
+	return g, true
 }
 
 // grant takes the credit of a grant and reports whether it answers an ask.
 func (l *Limiter) grant(now time.Time, from bbtfleet.HostID, g Grant) bool {
 	a := l.accounts[bbtfleet.AccountID(g.Account)]
-	if a == nil || !a.answer(now, g.ID, from) {
+	granted := need{requests: bounded(g.Requests), tokens: bounded(g.Tokens)}
+	if a == nil || !a.answer(now, g.ID, from, granted) {
 		l.stats.LateGrants++
 		return false
 	}
 	l.stats.Grants++
-	a.requests.receive(now, bounded(g.Requests))
-	a.tokens.receive(now, bounded(g.Tokens))
+	a.requests.receive(now, granted.requests)
+	a.tokens.receive(now, granted.tokens)
 	return true
 }
 
--- a/core/bbtlimit/limit.go
+++ b/core/bbtlimit/limit.go
@@ -45,7 +45,7 @@
 	// dropped.
 	AskTimeout = 250 * time.Millisecond
 	// AskPeriod is the least time between two rounds of asks for one account.
-	AskPeriod = 250 * time.Millisecond
+	AskPeriod = 100 * time.Millisecond
 	// AskFanout is the largest number of homes asked in one round.
 	AskFanout = 4
 	// Hold is how long granted credit may be spent.
--- a/core/bbtlimit/meter.go
+++ b/core/bbtlimit/meter.go
@@ -17,7 +17,7 @@
 const unit credit = 1000
 
 // demandTime is the time over which demand is averaged, in seconds.
-const demandTime = 1.0
+const demandTime = 4.0
 
 // meter accounts for one of an account's rates on one host. The own part of the
 // rate fills a bucket of golang.org/x/time/rate, which works on given times.
@@ -122,32 +122,42 @@
 	m.expires = now.Add(Hold)
 }
 
-// lend takes up to asked credit out of the own part for another host. Where
-// both hosts are short, each gets its part of the credit by its demand.
-func (m *meter) lend(now time.Time, asked credit) credit {
+// spare returns the own credit that another host may get.
+func (m *meter) spare(now time.Time) credit { return max(0, m.filled(now)-m.debt) }
+
+// spares reports whether another host may get the needed credit.
+func (m *meter) spares(now time.Time, needed credit) bool {
+	return needed == 0 || m.limited() && m.spare(now) >= needed
+}
+
+// lend takes the needed credit, and up to asked, out of the own part for
+// another host. Where both hosts are short of what is beyond the need, each
+// gets its part of it by its demand.
+func (m *meter) lend(now time.Time, asked, needed credit) credit {
 	if !m.limited() {
 		return 0
 	}
-	free := max(0, m.filled(now)-m.debt)
+	spare := m.spare(now) - needed
+	more := asked - needed
 	own := credit(m.demandAt(now) * Hold.Seconds() * float64(unit))
-	if asked+own > free {
-		free = credit(float64(free) * float64(asked) / float64(asked+own))
+	if more+own > spare {
+		spare = credit(float64(spare) * float64(more) / float64(more+own))
 	}
-	lent := min(asked, free)
+	lent := needed + min(more, spare)
 	m.own.AllowN(now, int(lent))
 	return lent
 }
 
-// want returns the credit to ask other hosts for: what is missing now and what
-// the demand will need beyond the own part while the credit can be held.
-func (m *meter) want(now time.Time, n float64) credit {
+// ahead returns the credit, beyond what is at hand, that n units now and the
+// demand while granted credit can be held need.
+func (m *meter) ahead(now time.Time, n float64) credit {
 	if !m.limited() {
 		return 0
 	}
 	hold := Hold.Seconds()
-	ahead := credit(min(m.demandAt(now), m.whole.PerSecond()) * hold * float64(unit))
+	demand := credit(min(m.demandAt(now), m.whole.PerSecond()) * hold * float64(unit))
 	own := credit(float64(m.own.Limit()) * hold)
-	return max(m.missing(now, n), ahead-own-m.available(now))
+	return m.cost(n) + demand - own - m.available(now)
 }
 
 // count adds n requested units to the demand.
--- a/core/bbtlimit/wire.go
+++ b/core/bbtlimit/wire.go
@@ -19,12 +19,15 @@
 }
 
 // Ask asks a home for credit. Amounts are in thousandths of a request and of a
-// token.
+// token. A home that lacks the needed amounts grants nothing, as less than them
+// would only expire.
 type Ask struct {
-	ID       uint32 `cbor:"1,keyasint"`
-	Account  string `cbor:"2,keyasint"`
-	Requests uint64 `cbor:"3,keyasint,omitempty"`
-	Tokens   uint64 `cbor:"4,keyasint,omitempty"`
+	ID             uint32 `cbor:"1,keyasint"`
+	Account        string `cbor:"2,keyasint"`
+	Requests       uint64 `cbor:"3,keyasint,omitempty"`
+	Tokens         uint64 `cbor:"4,keyasint,omitempty"`
+	NeededRequests uint64 `cbor:"5,keyasint,omitempty"`
+	NeededTokens   uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Grant answers an ask with the credit that the home gave up, in the same
@@ -72,6 +75,9 @@
 		if err := checkItem(k.Account, k.Requests, k.Tokens); err != nil {
 			return Message{}, err
 		}
+		if k.NeededRequests > k.Requests || k.NeededTokens > k.Tokens {
+			return Message{}, errors.Wrap(ErrMessage, "ask for less than is needed")
+		}
 	}
 	for _, g := range m.Grants {
 		if err := checkItem(g.Account, g.Requests, g.Tokens); err != nil {
--- a/internal/limitrun/fleet.go
+++ b/internal/limitrun/fleet.go
@@ -54,7 +54,6 @@
 		side:      make(map[bbtfleet.HostID]int),
 	}
 	f.now = time.Unix(0, 0)
-	f.tally = newTally(f.now, contracts)
 	for i := range n {
 		id := bbtfleet.HostID(fmt.Sprintf("entry-%03d", i))
 		f.ids = append(f.ids, id)
@@ -63,6 +62,7 @@
 		f.hosts[id] = h
 	}
 	f.see(f.ids)
+	f.tally = newTally(f.now, contracts, func(id bbtfleet.AccountID) bool { return len(f.homes(f.ids[0], id)) > 1 })
 	f.after(tickTime, f.tick)
 	return f
 }
--- a/internal/limitrun/row.go
+++ b/internal/limitrun/row.go
@@ -9,7 +9,7 @@
 // header names the columns of a row.
 var header = strings.Join([]string{
 	"scenario", "seed", "hosts", "accounts",
-	"offered-tokens", "ideal", "admitted", "admitted/ideal", "excess-s",
+	"offered-tokens", "ideal", "admitted", "admitted/ideal", "large", "small", "excess-s",
 	"wait-mean-ms", "messages/s", "B/s-mean", "B/s-max", "accounts-held-max",
 }, "\t")
 
@@ -32,9 +32,10 @@
 	if r.tally.requests > 0 {
 		wait = r.tally.waited / time.Duration(r.tally.requests)
 	}
-	return fmt.Sprintf("%s\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%d",
-		r.scenario, r.seed, r.hosts, len(r.tally.accounts),
-		r.tally.offered, r.tally.ideal, r.tally.admitted, r.tally.admitted/r.tally.ideal, r.tally.excess(),
+	all := r.tally.large.add(r.tally.small)
+	return fmt.Sprintf("%s\t%d\t%d\t%d\t%.0f\t%.0f\t%.0f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%.2f\t%.0f\t%.0f\t%d",
+		r.scenario, r.seed, r.hosts, len(r.tally.accounts), all.offered, all.ideal, all.admitted,
+		all.ratio(), r.tally.large.ratio(), r.tally.small.ratio(), r.tally.excess(),
 		float64(wait.Microseconds())/1000, float64(r.tally.messages)/seconds/hosts,
 		float64(r.tally.bytes)/seconds/hosts, float64(r.bytes)/seconds, r.held)
 }
--- a/internal/limitrun/tally.go
+++ b/internal/limitrun/tally.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"math"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -14,69 +13,101 @@
 type tally struct {
 	start    time.Time
 	accounts map[bbtfleet.AccountID]*usage
-	offered  float64 // tokens
-	ideal    float64 // tokens admitted by the one limiter
-	admitted float64 // tokens
-	requests int     // admitted
+	large    sum // accounts with several homes
+	small    sum // accounts with one home
+	requests int // admitted
 	waited   time.Duration
 	messages int
 	bytes    int
 }
 
+// sum adds up tokens over accounts.
+type sum struct {
+	offered  float64
+	ideal    float64 // admitted by the one limiter
+	admitted float64
+}
+
+// add returns the sum of both.
+func (s sum) add(other sum) sum {
+	return sum{
+		offered:  s.offered + other.offered,
+		ideal:    s.ideal + other.ideal,
+		admitted: s.admitted + other.admitted,
+	}
+}
+
+// ratio returns the admitted part of the ideal, or one if both are nothing.
+func (s sum) ratio() float64 {
+	if s.ideal == 0 {
+		return 1
+	}
+	return s.admitted / s.ideal
+}
+
 // usage is what one account used.
 type usage struct {
 	contract bbtfleet.Contract
 	requests *rate.Limiter
 	tokens   *rate.Limiter
+	large    bool
 	admitted float64 // tokens
 	excess   float64 // largest excess over burst and rate, in seconds of the rate
 }
 
-// newTally returns the tally of accounts.
-func newTally(start time.Time, contracts []bbtfleet.Contract) tally {
+// newTally returns the tally of accounts; large tells which have several homes.
+func newTally(start time.Time, contracts []bbtfleet.Contract, large func(bbtfleet.AccountID) bool) tally {
 	t := tally{start: start, accounts: make(map[bbtfleet.AccountID]*usage)}
 	for _, c := range contracts {
-		t.accounts[c.Account()] = &usage{contract: c, requests: limiter(c.Requests()), tokens: limiter(c.Tokens())}
+		t.accounts[c.Account()] = &usage{
+			contract: c,
+			requests: limiter(c.Requests()),
+			tokens:   limiter(c.Tokens()),
+			large:    large(c.Account()),
+		}
 	}
 	return t
 }
 
 // limiter returns one limiter of the whole rate.
 func limiter(r bbtfleet.Rate) *rate.Limiter {
-	if r.PerSecond() == 0 {
-		return rate.NewLimiter(rate.Inf, 0)
-	}
 	return rate.NewLimiter(rate.Limit(r.PerSecond()), int(r.Burst()))
 }
 
+// sum returns the sum that an account belongs to.
+func (t *tally) sum(u *usage) *sum {
+	if u.large {
+		return &t.large
+	}
+	return &t.small
+}
+
 // offer counts a request that arrives.
 func (t *tally) offer(now time.Time, id bbtfleet.AccountID, tokens int) {
 	u := t.accounts[id]
-	t.offered += float64(tokens)
+	s := t.sum(u)
+	s.offered += float64(tokens)
 	if u.requests.TokensAt(now) >= 1 && u.tokens.AllowN(now, tokens) {
 		u.requests.AllowN(now, 1)
-		t.ideal += float64(tokens)
+		s.ideal += float64(tokens)
 	}
 }
 
 // admit counts a request that the hosts admit.
 func (t *tally) admit(now time.Time, r *request) {
 	u := t.accounts[r.account]
-	t.admitted += float64(r.tokens)
+	t.sum(u).admitted += float64(r.tokens)
 	t.requests++
 	t.waited += now.Sub(r.arrived)
 	u.admitted += float64(r.tokens)
 	limit := u.contract.Tokens()
-	if limit.PerSecond() == 0 {
-		return
-	}
 	allowed := limit.Burst() + limit.PerSecond()*now.Sub(t.start).Seconds()
 	u.excess = max(u.excess, (u.admitted-allowed)/limit.PerSecond())
 }
 
 // excess returns the largest excess of any account, in seconds of its rate.
 func (t *tally) excess() float64 {
-	most := math.Inf(-1)
+	most := 0.0
 	for _, u := range t.accounts {
 		most = max(most, u.excess)
 	}
