bbtpeer, bbtprocess: close connections before the socket; freeze before the next step

Cause: a connection from a host outside the list had no link, so closing the links left it to the idle timeout (120 s a test). Each session now closes its connection when the node ends. Ruled out: closing in the session's goroutine alone, which hangs in a read. SIGSTOP takes effect some time after the signal was sent; the test now waits until the kernel shows the process as stopped.

--- a/internal/bbtprocess/once_test.go
+++ b/internal/bbtprocess/once_test.go
@@ -92,7 +92,7 @@
 	defer cancel()
 	f := startFleet(ctx, t)
 	call := ticketed(ctx, t, f.Caller("host-0"), invoice("bill 3"))
-	must(t, f.Process("host-0").Signal(syscall.SIGSTOP))
+	must(t, f.Process("host-0").Freeze(ctx))
 	_, err := send(ctx, f.Caller("host-1"), call)
 	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
 		t.Errorf("while frozen: got verdict %v (%v), want %v", got, err, want)
--- a/internal/bbtprocess/process.go
+++ b/internal/bbtprocess/process.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"context"
+	"fmt"
 	"io"
+	"os"
 	"os/exec"
 	"strings"
 	"syscall"
@@ -53,6 +56,25 @@
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) error { return p.cmd.Process.Signal(s) }
 
+// Freeze stops the process and returns once it no longer runs.
+func (p *Process) Freeze(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGSTOP); err != nil {
+		return err
+	}
+	return Await(ctx, "the process stops", p.stopped)
+}
+
+// stopped reports whether the kernel shows the process as stopped. Its state
+// stands behind the program's name in parentheses.
+func (p *Process) stopped() bool {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(data), ") ")
+	return strings.HasPrefix(rest, "T")
+}
+
 // Kill ends the process at once and waits for it.
 func (p *Process) Kill() {
 	_ = p.cmd.Process.Kill() // it may have ended by itself
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -182,20 +182,9 @@
 // goroutines.
 func (n *Node) Close() error {
 	n.cancel()
-	n.closeLinks()
-	err := errors.CombineErrors(n.listener.Close(), n.transport.Close())
-	err = errors.CombineErrors(err, n.transport.Conn.Close())
 	n.done.Wait()
-	return err
-}
-
-// closeLinks closes the connections of all links.
-func (n *Node) closeLinks() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	for _, l := range n.links {
-		l.close("closed")
-	}
+	err := errors.CombineErrors(n.listener.Close(), n.transport.Close())
+	return errors.CombineErrors(err, n.transport.Conn.Close())
 }
 
 // link returns the link to a host, if the host is known.
--- a/io/bbtpeer/session.go
+++ b/io/bbtpeer/session.go
@@ -1,6 +1,8 @@
 package bbtpeer
 
 import (
+	"context"
+
 	"bluebelltray/core/bbtfleet"
 	"github.com/quic-go/quic-go"
 )
@@ -14,6 +16,8 @@
 
 // run reads message streams, one at a time, until the connection ends.
 func (s *session) run() {
+	stop := context.AfterFunc(s.node.ctx, func() { s.conn.CloseWithError(0, "closed") })
+	defer stop()
 	for {
 		stream, err := s.conn.AcceptUniStream(s.node.ctx)
 		if err != nil {
