--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -12,13 +12,17 @@
 	gapEasy      = 0.0365      // seconds between tokens, below which the limit may rise
 	limitFloor   = 0.6         // of the slots
 	limitStep    = 2 * time.Second
+	growthLeast  = 4
+	growthShare  = 0.17 // of the slots
 )
 
 // endpoint is the owner's state of one owned endpoint.
 type endpoint struct {
 	record      bbtfleet.Endpoint
 	incarnation bbtfleet.Incarnation
+	known       bool      // a report has told whether this run is warm
 	reported    time.Time // time of the newest report; zero before the first
+	adopted     time.Time
 	settled     time.Time // until then a former owner's permits may be used
 	paused      time.Time // until then nothing is granted
 	outstanding int       // permits that may be running
@@ -33,7 +37,7 @@
 }
 
 func newEndpoint(now time.Time, record bbtfleet.Endpoint, settled time.Time) *endpoint {
-	e := &endpoint{record: record, settled: settled, limit: record.Slots(), pace: newPace(now)}
+	e := &endpoint{record: record, adopted: now, settled: settled, limit: record.Slots(), pace: newPace(now)}
 	e.ramp.cool(now)
 	return e
 }
@@ -44,7 +48,7 @@
 	if now.Before(e.paused) {
 		return 0
 	}
-	most := min(e.limit, e.ramp.cap(e.record.Slots()))
+	most := min(e.limit, e.ramp.cap(e.record.Slots()), e.history.before(now)+e.foreign+e.growth())
 	room := most - e.foreign - e.outstanding
 	if now.Before(e.settled) {
 		return min(room, (most-e.foreign+1)/2-e.outstanding)
@@ -52,6 +56,12 @@
 	return room
 }
 
+// growth returns by how many requests the endpoint's work may grow within
+// growthTime, so that one that has turned cold unnoticed is not overrun.
+func (e *endpoint) growth() int {
+	return max(growthLeast, int(growthShare*float64(e.record.Slots())))
+}
+
 // use returns the part of the endpoint's limit that is in use.
 func (e *endpoint) use() float64 {
 	return float64(e.outstanding+e.foreign) / float64(max(1, e.limit))
@@ -71,16 +81,18 @@
 	if r.Incarnation < e.incarnation || !r.At.After(e.reported) {
 		return
 	}
-	first := e.reported.IsZero()
 	e.reported = r.At
 	if r.Incarnation != e.incarnation {
 		e.incarnation = r.Incarnation
 		e.ramp.cool(now)
 		e.held = prefixes{}
-		first = true
+		e.known = false
 	}
-	if first && r.Served >= warmServed {
-		e.ramp.heat()
+	if !e.known && r.At.After(e.adopted) {
+		e.known = true
+		if r.Served >= warmServed {
+			e.ramp.heat()
+		}
 	}
 	e.foreign = max(0, r.Running+r.Queued-e.history.at(r.At))
 	if r.Queued > 0 && e.foreign == 0 && e.ramp.warm {
