bbtgrant: share the ramp of a cold endpoint with another owner

Now a refused dispatch allows one permit until a later report tells the run, an owner that sees foreign work on a cold endpoint keeps to half, and a report of work without a queue counts as proof, so that one long answer doesn't stop the ramp.

--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -13,7 +13,8 @@
 	limitFloor   = 0.6         // of the slots
 	limitStep    = 2 * time.Second
 	growthLeast  = 4
-	growthShare  = 0.17 // of the slots
+	sharedTime   = 10 * time.Second // after a report with foreign work
+	growthShare  = 0.17             // of the slots
 )
 
 // endpoint is the owner's state of one owned endpoint.
@@ -25,9 +26,11 @@
 	adopted     time.Time
 	settled     time.Time // until then a former owner's permits may be used
 	paused      time.Time // until then nothing is granted
+	doubted     time.Time // when it refused a dispatch; zero once a later report tells its run
 	outstanding int       // permits that may be running
 	alone       int       // outstanding permits for requests that ask to run alone
 	foreign     int       // requests of other owners
+	shared      time.Time // until then another owner is taken to grant too
 	limit       int       // requests it serves well at once
 	adjusted    time.Time // when the limit last moved
 	ramp        ramp
@@ -43,17 +46,25 @@
 }
 
 // room returns how many more requests the endpoint can take now. While a
-// former owner's permits may still be used it leaves half of the room to them.
+// former owner's permits may still be used it leaves half of the room to them;
+// a cold endpoint with foreign work it serves no more than half.
 func (e *endpoint) room(now time.Time) int {
 	if now.Before(e.paused) {
 		return 0
 	}
 	most := min(e.limit, e.ramp.cap(e.record.Slots()), e.history.before(now)+e.foreign+e.growth())
+	if !e.doubted.IsZero() {
+		most = min(most, rampFirst)
+	}
 	room := most - e.foreign - e.outstanding
-	if now.Before(e.settled) {
+	switch {
+	case now.Before(e.settled):
 		return min(room, (most-e.foreign+1)/2-e.outstanding)
+	case !e.ramp.warm && now.Before(e.shared):
+		return min(room, (most+1)/2-e.outstanding)
+	default:
+		return room
 	}
-	return room
 }
 
 // growth returns by how many requests the endpoint's work may grow within
@@ -82,6 +93,9 @@
 		return
 	}
 	e.reported = r.At
+	if r.At.After(e.doubted) {
+		e.doubted = time.Time{}
+	}
 	if r.Incarnation != e.incarnation {
 		e.incarnation = r.Incarnation
 		e.ramp.cool(now)
@@ -94,7 +108,14 @@
 			e.ramp.heat()
 		}
 	}
+	if r.Queued == 0 && r.Running > 0 && r.At.After(e.ramp.raised) {
+		e.ramp.prove()
+		e.ramp.raise(now, e.record.Slots())
+	}
 	e.foreign = max(0, r.Running+r.Queued-e.history.at(r.At))
+	if e.foreign > 0 {
+		e.shared = now.Add(sharedTime)
+	}
 	if r.Queued > 0 && e.foreign == 0 && e.ramp.warm {
 		e.lower(now, max(1, r.Running))
 	}
@@ -104,6 +125,8 @@
 func (e *endpoint) done(now time.Time, d Done) {
 	if d.Outcome == Refused {
 		e.paused = now.Add(refusedPause)
+		e.ramp.hold(now)
+		e.doubted = now
 		return
 	}
 	if e.ramp.done(now, d) {
--- a/core/bbtgrant/ramp.go
+++ b/core/bbtgrant/ramp.go
@@ -20,7 +20,7 @@
 	warm     bool
 	limit    int
 	raised   time.Time
-	finished int // dispatches since the last step
+	proofs   int // that the endpoint serves what it was given, since the last step
 	lost     int
 	lostAt   time.Time
 	slow     int     // slow first tokens in a row
@@ -32,22 +32,30 @@
 	*r = ramp{limit: rampFirst, raised: now, first: r.first}
 }
 
+// hold starts the current step anew, as a cold endpoint that does not answer
+// has not warmed up either.
+func (r *ramp) hold(now time.Time) { r.raised, r.proofs = now, 0 }
+
 // heat ends the ramp.
 func (r *ramp) heat() { r.warm = true }
 
+// prove records that the endpoint serves what it was given: a dispatch has
+// finished, or a load report shows work and no queue.
+func (r *ramp) prove() { r.proofs++ }
+
 // raise doubles the limit after a step without trouble, up to slots.
 func (r *ramp) raise(now time.Time, slots int) {
-	if r.warm || r.finished == 0 || now.Sub(r.raised) < rampStep {
+	if r.warm || r.proofs == 0 || now.Sub(r.raised) < rampStep {
 		return
 	}
 	r.limit *= 2
-	r.raised, r.finished = now, 0
+	r.raised, r.proofs = now, 0
 	r.warm = r.limit >= slots
 }
 
 // next returns when the limit may rise; the zero time if it won't.
 func (r *ramp) next() time.Time {
-	if r.warm || r.finished == 0 {
+	if r.warm || r.proofs == 0 {
 		return time.Time{}
 	}
 	return r.raised.Add(rampStep)
@@ -66,7 +74,7 @@
 func (r *ramp) done(now time.Time, d Done) bool {
 	switch d.Outcome {
 	case Finished:
-		r.finished++
+		r.prove()
 		return r.jumped(d.FirstToken)
 	case Lost:
 		if now.Sub(r.lostAt) > burstTime {
--- a/internal/measure/engine.go
+++ b/internal/measure/engine.go
@@ -235,6 +235,7 @@
 // progress tells the entry host of a call's first token and of its end.
 func (e *engine) progress(c *call) {
 	if c.req.poison {
+		e.w.score.crashed(c.req)
 		e.die()
 		return
 	}
--- a/internal/measure/fleet.go
+++ b/internal/measure/fleet.go
@@ -102,6 +102,7 @@
 	state        requestState
 	dispatches   int // in all
 	running      int // not yet ended, as far as the host knows
+	crashes      int // engines it took down
 	refusals     int // dispatches that provably did not run
 }
 
--- a/internal/measure/score.go
+++ b/internal/measure/score.go
@@ -14,11 +14,12 @@
 )
 
 const (
-	tiers      = 3
-	orderGrace = 20 * time.Millisecond // messages under way when a request was refused
-	longestMS  = 600_000
-	digits     = 3
-	quantile   = 95
+	tiers       = 3
+	orderGrace  = 20 * time.Millisecond // messages under way when a request was refused
+	longestMS   = 600_000
+	digits      = 3
+	quantile    = 95
+	mostCrashes = 2 // engines lost to one request
 )
 
 // requestState says what became of a request.
@@ -47,6 +48,7 @@
 	order  int
 	cold   int
 	twice  int
+	crash  int
 	bytes  int
 	deaths int
 	reason map[bbtverdict.Reason]int
@@ -100,6 +102,15 @@
 	s.each(r, func(t *tierScore) { t.violations++ })
 }
 
+// crashed counts the engines a request takes down; more than two are a
+// violation.
+func (s *score) crashed(r *request) {
+	r.crashes++
+	if r.crashes > mostCrashes {
+		s.violate(r, &s.crash)
+	}
+}
+
 // coldBreach counts a cold engine that holds more than it bears. Before an
 // owner can know of it the work is not a breach.
 func (s *score) coldBreach(e *engine) {
@@ -205,6 +216,6 @@
 // detail writes a comment line with what the table leaves out.
 func (s *score) detail(w io.Writer) {
 	length := s.w.spec.length.Seconds()
-	fmt.Fprintf(w, "# order %d, cold %d, twice %d, engines lost %d, reasons %v, control bytes a host and second %.0f\n",
-		s.order, s.cold, s.twice, s.deaths, s.reason, float64(s.bytes)/float64(len(s.w.hosts))/length)
+	fmt.Fprintf(w, "# order %d, cold %d, twice %d, crash %d, engines lost %d, reasons %v, control bytes a host and second %.0f\n",
+		s.order, s.cold, s.twice, s.crash, s.deaths, s.reason, float64(s.bytes)/float64(len(s.w.hosts))/length)
 }
