--- /dev/null
+++ b/internal/keyrun/changes_test.go
@@ -0,0 +1,42 @@
+package main
+
+import (
+	"testing"
+
+	"bluebelltray/core/bbthome"
+)
+
+// outcome returns what becomes of the first attempts after a change.
+func outcome(t *testing.T, change, by string) result {
+	t.Helper()
+	for _, k := range kinds {
+		for _, w := range ways {
+			if k.name == change && w.name == by {
+				return measure(newFleet(8, 1), k, w)
+			}
+		}
+	}
+	t.Fatalf("no change %q or way %q", change, by)
+	return result{}
+}
+
+func TestCountedFirstAttemptsAreNotRefused(t *testing.T) {
+	for _, k := range kinds {
+		if got := outcome(t, k.name, "counted"); got != (result{}) {
+			t.Errorf("%s: got %+v, want none refused", k.name, got)
+		}
+	}
+}
+
+func TestUncountedWaitOnlyAfterChanges(t *testing.T) {
+	if got := outcome(t, "none", "uncounted"); got != (result{}) {
+		t.Errorf("no change: got %+v, want none refused", got)
+	}
+	first := outcome(t, "kill", "uncounted")
+	if first.until < bbthome.DefaultWindow {
+		t.Errorf("kill: got the last refusal after %v, want after %v or more", first.until, bbthome.DefaultWindow)
+	}
+	if again := outcome(t, "kill", "uncounted"); again != first {
+		t.Errorf("got %+v in the second run, want %+v", again, first)
+	}
+}
