--- a/internal/bbtworld/caller.go
+++ b/internal/bbtworld/caller.go
@@ -60,7 +60,7 @@
 	if w.faults.has(Forgetful) && r.key != "" && w.chance(5) {
 		r.ticket = ""
 	}
-	w.tally.Attempts++
+	w.tally.attempt(r)
 	w.nextCall++
 	r.at, r.inc, r.call = n, n.inc, w.nextCall
 	n.calls[r.call] = r
@@ -127,10 +127,7 @@
 	case bbtverdict.NotRun:
 		w.refusedNotRun(r, a)
 	case bbtverdict.MayHaveRun:
-		w.tally.MayHaveRun++
-		if r.runs == 0 {
-			w.tally.Unneeded++
-		}
+		w.tally.mayHaveRun(r)
 		r.done = w.chance(4)
 	case bbtverdict.Ran:
 		if r.runs != 1 {
--- a/internal/bbtworld/tally.go
+++ b/internal/bbtworld/tally.go
@@ -10,6 +10,9 @@
 	MayHaveRun   int // refusals may-have-run
 	Unneeded     int // refusals may-have-run of requests that never ran until then
 	FirstRefused int // first attempts that got neither ticket nor answer
+	Counted      int // attempts of callers that count them
+	CountedMay   int // refusals may-have-run of such attempts
+	CountedNever int // those of requests that never ran until then
 }
 
 // Add adds the counts of another run.
@@ -22,4 +25,30 @@
 	t.MayHaveRun += o.MayHaveRun
 	t.Unneeded += o.Unneeded
 	t.FirstRefused += o.FirstRefused
+	t.Counted += o.Counted
+	t.CountedMay += o.CountedMay
+	t.CountedNever += o.CountedNever
+}
+
+// attempt counts an attempt of a caller.
+func (t *Tally) attempt(r *request) {
+	t.Attempts++
+	if r.counted {
+		t.Counted++
+	}
+}
+
+// mayHaveRun counts a refusal may-have-run.
+func (t *Tally) mayHaveRun(r *request) {
+	t.MayHaveRun++
+	if r.counted {
+		t.CountedMay++
+	}
+	if r.runs > 0 {
+		return
+	}
+	t.Unneeded++
+	if r.counted {
+		t.CountedNever++
+	}
 }
--- a/internal/keyrun/faults.go
+++ b/internal/keyrun/faults.go
@@ -19,7 +19,8 @@
 // Run prints one row for each kind of fault.
 func (f faults) Run() error {
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', tabwriter.AlignRight|tabwriter.Debug)
-	fmt.Fprintln(out, "fault\trequests\tattempts\tanswers\tnot-run\tmay-have-run\tshare\tnever ran\tviolations\t")
+	fmt.Fprintln(out, "fault\trequests\tanswers\tcounted attempts\tmay-have-run\tshare\tnever ran\t"+
+		"uncounted attempts\tmay-have-run\tshare\tnever ran\tviolations\t")
 	for kind := bbtworld.Faults(0); kind < bbtworld.All; kind = max(1, 2*kind) {
 		f.row(out, kind)
 	}
@@ -39,7 +40,11 @@
 		}
 		sum.Add(w.Tally())
 	}
-	fmt.Fprintf(out, "%v\t%d\t%d\t%d\t%d\t%d\t%.4f\t%d\t%d\t\n", kind, sum.Requests, sum.Attempts,
-		sum.Answers, sum.NotRun, sum.MayHaveRun,
-		float64(sum.MayHaveRun)/float64(sum.Attempts), sum.Unneeded, violations)
+	attempts, may := sum.Attempts-sum.Counted, sum.MayHaveRun-sum.CountedMay
+	fmt.Fprintf(out, "%v\t%d\t%d\t%d\t%d\t%.4f\t%d\t%d\t%d\t%.4f\t%d\t%d\t\n", kind, sum.Requests, sum.Answers,
+		sum.Counted, sum.CountedMay, share(sum.CountedMay, sum.Counted), sum.CountedNever,
+		attempts, may, share(may, attempts), sum.Unneeded-sum.CountedNever, violations)
 }
+
+// share returns the part of a whole.
+func share(part, whole int) float64 { return float64(part) / float64(max(1, whole)) }
