--- a/internal/limitrun/fleet.go
+++ b/internal/limitrun/fleet.go
@@ -30,11 +30,12 @@
 
 // host is one entry host.
 type host struct {
-	id      bbtfleet.HostID
-	limiter *bbtlimit.Limiter
-	dead    bool
-	waiting []*request
-	bytes   int // sent
+	id       bbtfleet.HostID
+	limiter  *bbtlimit.Limiter
+	dead     bool
+	waiting  []*request
+	admitted float64 // tokens
+	bytes    int     // sent
 }
 
 // request is one request of a client account.
@@ -111,6 +112,7 @@
 	switch d.Outcome() {
 	case bbtlimit.Admitted:
 		f.tally.admit(f.now, r)
+		h.admitted += float64(r.tokens)
 		r.decided = true
 	case bbtlimit.Refused:
 		r.decided = true
