--- /dev/null
+++ b/core/bbtlimit/limit_test.go
@@ -0,0 +1,280 @@
+package bbtlimit_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtlimit"
+	"bluebelltray/core/bbtverdict"
+)
+
+// start is the first virtual time.
+var start = time.Unix(0, 0)
+
+// newLimiter returns the limiter of the first host with the contracts.
+func newLimiter(hosts []bbtfleet.HostID, contracts ...bbtfleet.Contract) *bbtlimit.Limiter {
+	l := bbtlimit.New(hosts[0])
+	l.SetContracts(bbtfleet.NewConfiguration(bbtfleet.Version{}, bbtfleet.WithContracts(contracts...)))
+	l.SetHosts(hosts, hosts)
+	return l
+}
+
+// contract returns a contract with the rate of tokens.
+func contract(id string, perSecond, burst float64) bbtfleet.Contract {
+	return bbtfleet.NewContract(bbtfleet.AccountID(id), 1, bbtfleet.WithTokens(bbtfleet.NewRate(perSecond, burst)))
+}
+
+// names returns n hosts.
+func names(n int) []bbtfleet.HostID {
+	var out []bbtfleet.HostID
+	for i := range n {
+		out = append(out, bbtfleet.HostID(fmt.Sprintf("entry-%d", i)))
+	}
+	return out
+}
+
+func TestRefusalSaysWhenToComeAgain(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000))
+	if got := l.Admit(start, "a", 900).Outcome(); got != bbtlimit.Admitted {
+		t.Fatalf("got %v, want admitted", got)
+	}
+	err := l.Admit(start, "a", 400).Err()
+	var refusal *bbtverdict.Error
+	if !errors.As(err, &refusal) || refusal.Verdict() != bbtverdict.NotRun || refusal.Reason() != bbtverdict.ReasonTokenRate {
+		t.Fatalf("got %v, want a refusal by the token rate that says not run", err)
+	}
+	if got, want := refusal.RetryAfter(), 3*time.Second; got != want {
+		t.Errorf("got retry after %v, want %v", got, want)
+	}
+	if got := l.Admit(start.Add(refusal.RetryAfter()), "a", 400).Outcome(); got != bbtlimit.Admitted {
+		t.Errorf("got %v after the time to come again, want admitted", got)
+	}
+	err = l.Admit(start, "b", 1).Err()
+	if !errors.As(err, &refusal) || refusal.Reason() != bbtverdict.ReasonUnknownAccount {
+		t.Errorf("got %v, want an unknown account", err)
+	}
+}
+
+func TestRefusalNamesTheLongerWait(t *testing.T) {
+	for _, tt := range []struct {
+		requests, tokens float64
+		want             bbtverdict.Reason
+		after            time.Duration
+	}{
+		{0.1, 100, bbtverdict.ReasonRequestRate, 10 * time.Second},
+		{1, 10, bbtverdict.ReasonTokenRate, 10 * time.Second},
+		{100, 1000, bbtverdict.ReasonTokenRate, bbtlimit.AskPeriod},
+		{0.001, 1000, bbtverdict.ReasonRequestRate, time.Minute},
+	} {
+		l := newLimiter(names(1), bbtfleet.NewContract("a", 1,
+			bbtfleet.WithRequests(bbtfleet.NewRate(tt.requests, 1)), bbtfleet.WithTokens(bbtfleet.NewRate(tt.tokens, 100))))
+		l.Admit(start, "a", 100)
+		var refusal *bbtverdict.Error
+		if err := l.Admit(start, "a", 100).Err(); !errors.As(err, &refusal) {
+			t.Fatalf("got %v, want a refusal", err)
+		}
+		if refusal.Reason() != tt.want || refusal.RetryAfter() != tt.after {
+			t.Errorf("got %v after %v, want %v after %v", refusal.Reason(), refusal.RetryAfter(), tt.want, tt.after)
+		}
+	}
+}
+
+func TestRequestLargerThanTheBurstIsPaidOff(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000))
+	if got := l.Admit(start, "a", 1500).Outcome(); got != bbtlimit.Admitted {
+		t.Fatalf("got %v with the whole burst at hand, want admitted", got)
+	}
+	for _, tt := range []struct {
+		after time.Duration
+		want  bbtlimit.Outcome
+	}{{4 * time.Second, bbtlimit.Refused}, {6 * time.Second, bbtlimit.Admitted}} {
+		if got := l.Admit(start.Add(tt.after), "a", 100).Outcome(); got != tt.want {
+			t.Errorf("after %v: got %v, want %v", tt.after, got, tt.want)
+		}
+	}
+}
+
+func TestSettleCorrectsBothWays(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 1, 1000))
+	l.Admit(start, "a", 1000)
+	l.Settle(start, "a", 1000, 400)
+	if got := l.Admit(start, "a", 600).Outcome(); got != bbtlimit.Admitted {
+		t.Errorf("got %v after a refund of 600, want admitted", got)
+	}
+	l.Settle(start, "a", 600, 700)
+	if got := l.Admit(start.Add(99*time.Second), "a", 1).Outcome(); got != bbtlimit.Refused {
+		t.Errorf("got %v with debt, want refused", got)
+	}
+	if got := l.Admit(start.Add(102*time.Second), "a", 1).Outcome(); got != bbtlimit.Admitted {
+		t.Errorf("got %v after the debt, want admitted", got)
+	}
+}
+
+func TestChangedContractIsInForceAtOnce(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000))
+	l.Admit(start, "a", 1000)
+	l.SetContracts(bbtfleet.NewConfiguration(bbtfleet.Version{}, bbtfleet.WithContracts(contract("a", 500, 1000))))
+	l.Admit(start, "a", 0)
+	if got := l.Admit(start.Add(time.Second), "a", 500).Outcome(); got != bbtlimit.Admitted {
+		t.Errorf("got %v at the new rate, want admitted", got)
+	}
+	l.SetContracts(bbtfleet.NewConfiguration(bbtfleet.Version{}))
+	if got := l.Admit(start.Add(time.Second), "a", 1).Outcome(); got != bbtlimit.Refused || l.Active() != 0 {
+		t.Errorf("got %v and %d accounts without a contract, want refused and none", got, l.Active())
+	}
+}
+
+func TestHomesAreSpreadAndStay(t *testing.T) {
+	const accounts, hosts = 1000, 10
+	var contracts []bbtfleet.Contract
+	for i := range accounts {
+		contracts = append(contracts, contract(fmt.Sprintf("a-%d", i), 100, 1000))
+	}
+	all := names(hosts)
+	l := newLimiter(all, contracts...)
+	fewer := newLimiter(all[1:], contracts...)
+	slices.Reverse(all)
+	reversed := newLimiter(all, contracts...)
+	load := map[bbtfleet.HostID]int{}
+	for _, c := range contracts {
+		home := l.Homes(c.Account())[0]
+		load[home]++
+		if got := reversed.Homes(c.Account())[0]; got != home {
+			t.Errorf("%s: got home %s for another order of hosts, want %s", c.Account(), got, home)
+		}
+		if got := fewer.Homes(c.Account())[0]; home != "entry-0" && got != home {
+			t.Errorf("%s: got home %s without a host that was not its home, want %s", c.Account(), got, home)
+		}
+	}
+	for _, h := range all {
+		if got := load[h]; got < accounts/hosts/2 || got > accounts/hosts*2 {
+			t.Errorf("%s: got %d accounts, want about %d", h, got, accounts/hosts)
+		}
+	}
+	large := newLimiter(all, contract("large", 20_000, 1000))
+	if got := len(large.Homes("large")); got != 4 {
+		t.Errorf("got %d homes of an account of 20000 tokens/s, want 4", got)
+	}
+}
+
+func TestIdleAccountsAreForgotten(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000), contract("b", 100, 10_000))
+	l.Admit(start, "a", 500)
+	l.Admit(start, "b", 10_000)
+	l.Tick(start.Add(bbtlimit.IdleTime - time.Second))
+	if got := l.Active(); got != 2 {
+		t.Errorf("got %d accounts a short time after their requests, want 2", got)
+	}
+	l.Tick(start.Add(bbtlimit.IdleTime))
+	if got := l.Active(); got != 1 {
+		t.Errorf("got %d accounts, want the one that has spent more than it has earned since", got)
+	}
+	l.Tick(start.Add(100 * time.Second))
+	if got := l.Active(); got != 0 {
+		t.Errorf("got %d accounts, want none", got)
+	}
+}
+
+func TestOnlyTheAwaitedGrantCounts(t *testing.T) {
+	hosts := names(2)
+	all := contract("a", 100, 1000)
+	l := newLimiter(hosts, all)
+	if l.Homes("a")[0] == hosts[0] {
+		slices.Reverse(hosts)
+		l = newLimiter(hosts, all)
+	}
+	d := l.Admit(start, "a", 500)
+	if d.Outcome() != bbtlimit.Waiting || len(d.Sends()) != 1 {
+		t.Fatalf("got %v with %d messages, want waiting with one ask", d.Outcome(), len(d.Sends()))
+	}
+	k := d.Sends()[0].Message.Asks[0]
+	grant := func(id uint32) bbtlimit.Message {
+		return bbtlimit.Message{Grants: []bbtlimit.Grant{{ID: id, Account: "a", Tokens: 500_000}}}
+	}
+	receive := func(at time.Time, from bbtfleet.HostID, m bbtlimit.Message) {
+		t.Helper()
+		if _, accounts := l.Receive(at, from, m); len(accounts) != 0 {
+			t.Errorf("got a grant taken that was not awaited")
+		}
+	}
+	receive(start, hosts[1], grant(k.ID+1))
+	receive(start, "entry-9", grant(k.ID))
+	if _, accounts := l.Receive(start, hosts[1], grant(k.ID)); len(accounts) != 1 {
+		t.Errorf("got the awaited grant dropped")
+	}
+	receive(start, hosts[1], grant(k.ID))
+	if got := l.Resume(start.Add(bbtlimit.Hold), "a", 500).Outcome(); got == bbtlimit.Admitted {
+		t.Errorf("got a request admitted on expired credit")
+	}
+	next := l.Admit(start.Add(2*time.Second), "a", 500)
+	receive(start.Add(2*time.Second+bbtlimit.AskTimeout), hosts[1], grant(next.Sends()[0].Message.Asks[0].ID))
+	if got, want := l.Stats().LateGrants, uint64(4); got != want {
+		t.Errorf("got %d late grants counted, want %d", got, want)
+	}
+}
+
+func TestSilentHomeEndsInARefusal(t *testing.T) {
+	hosts := names(2)
+	c := contract("a", 100, 1000)
+	l := newLimiter(hosts, c)
+	if l.Homes("a")[0] == hosts[0] {
+		slices.Reverse(hosts)
+		l = newLimiter(hosts, c)
+	}
+	d := l.Admit(start, "a", 500)
+	if got := l.Resume(d.Until(), "a", 500); got.Outcome() != bbtlimit.Refused || d.Until().Sub(start) != bbtlimit.AskTimeout {
+		t.Errorf("got %v after %v, want refused after %v", got.Outcome(), d.Until().Sub(start), bbtlimit.AskTimeout)
+	}
+}
+
+func TestLargeAccountsLeaveAsksToSmallOnes(t *testing.T) {
+	hosts := names(40)
+	var contracts []bbtfleet.Contract
+	for i := range 100 {
+		contracts = append(contracts, contract(fmt.Sprintf("large-%d", i), 50_000, 50_000))
+	}
+	l := newLimiter(hosts, append(contracts, contract("small-1", 100, 1000), contract("small-2", 100, 1000))...)
+	for _, c := range contracts {
+		l.Admit(start, c.Account(), 50_000)
+	}
+	if got, most := l.Stats().Asks, uint64(bbtlimit.AskBurst); got >= most {
+		t.Errorf("got %d asks of large accounts at once, want fewer than %d", got, most)
+	}
+	for _, id := range []bbtfleet.AccountID{"small-1", "small-2"} {
+		if d := l.Admit(start, id, 500); l.Homes(id)[0] != hosts[0] && len(d.Sends()) != 1 {
+			t.Errorf("%s: got %d asks, want one", id, len(d.Sends()))
+		}
+	}
+}
+
+func TestRetriesStayAPartOfAttempts(t *testing.T) {
+	var b bbtlimit.RetryBudget
+	retries := 0
+	for attempts := 1; attempts <= 1000; attempts++ {
+		b.Attempt()
+		for b.Retry() {
+			retries++
+		}
+		if most := bbtlimit.RetryStart + attempts/10; retries > most {
+			t.Fatalf("got %d retries after %d attempts, want at most %d", retries, attempts, most)
+		}
+	}
+	if retries < 100 {
+		t.Errorf("got %d retries after 1000 attempts, want at least 100", retries)
+	}
+	for range 1000 {
+		b.Attempt()
+	}
+	saved := 0
+	for b.Retry() {
+		saved++
+	}
+	if saved != bbtlimit.RetryBurst {
+		t.Errorf("got %d retries saved up, want %d", saved, bbtlimit.RetryBurst)
+	}
+}
