--- a/core/bbtowner/map.go
+++ b/core/bbtowner/map.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Claimants is the number of hosts that may own an endpoint under one host
-// list: the owner and its successors.
-const Claimants = 3
+// Electors is the number of hosts that may own an endpoint under one view: the
+// owner and its successors.
+const Electors = 3
 
 // accountHomes is the number of home hosts of a client account.
 const accountHomes = 2
@@ -21,10 +21,12 @@
 // Map places endpoints, client accounts and keys on the live hosts of one
 // view. It remembers the ranks it computes and is not safe for concurrent use.
 type Map struct {
-	config *bbtfleet.Configuration
-	list   bbtfleet.Revision
-	hosts  []bucket
-	ranks  map[bbtfleet.EndpointID][]bbtfleet.HostID
+	config  *bbtfleet.Configuration
+	list    bbtfleet.Revision
+	hosts   []bucket
+	known   map[bbtfleet.HostID]bool // live and leaving hosts
+	regions map[string][]bucket
+	ranks   map[bbtfleet.EndpointID][]bbtfleet.HostID
 }
 
 // NewMap returns the placement over the live hosts of list. The configuration
@@ -33,8 +35,15 @@
 	if cfg == nil {
 		cfg = bbtfleet.NewConfiguration(bbtfleet.Version{})
 	}
-	m := &Map{config: cfg, list: list.Revision(), ranks: make(map[bbtfleet.EndpointID][]bbtfleet.HostID)}
+	m := &Map{
+		config:  cfg,
+		list:    list.Revision(),
+		known:   make(map[bbtfleet.HostID]bool, len(list.Hosts())),
+		regions: make(map[string][]bucket),
+		ranks:   make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
+	}
 	for _, h := range list.Hosts() {
+		m.known[h.ID()] = true
 		if h.State() == bbtfleet.HostLive {
 			m.hosts = append(m.hosts, bucket{host: h, hash: xxhash.Sum64String(string(h.ID()))})
 		}
@@ -59,6 +68,17 @@
 	return ranks[0], true
 }
 
+// Likely returns the first host in the endpoint's hash order that is up, which
+// most likely owns it now, and whether there is one.
+func (m *Map) Likely(id bbtfleet.EndpointID, up func(bbtfleet.HostID) bool) (bbtfleet.HostID, bool) {
+	for _, host := range m.Ranks(id) {
+		if up(host) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
 // Successors returns the hosts that own the endpoint when those before them
 // do not, in order. They must not be changed.
 func (m *Map) Successors(id bbtfleet.EndpointID) []bbtfleet.HostID {
@@ -67,7 +87,8 @@
 }
 
 // Ranks returns the owner and the successors of the endpoint; they must not be
-// changed. They are not all in one zone where another zone has a live host.
+// changed. They are in the endpoint's region, if it has enough live hosts, but not
+// all in one zone, if the region has others.
 func (m *Map) Ranks(id bbtfleet.EndpointID) []bbtfleet.HostID {
 	if ranks, ok := m.ranks[id]; ok {
 		return ranks
@@ -126,22 +147,23 @@
 // rank computes the ranks of an endpoint in the zone.
 func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
 	key := endpointHash(id)
-	best := newRanking(Claimants)
-	for _, b := range m.hosts {
+	best := newRanking(Electors)
+	hosts := m.region(zone)
+	for _, b := range hosts {
 		best.offer(b, b.near(key, zone))
 	}
 	if best.zones() == 1 {
-		m.replaceLast(&best, key)
+		replaceLast(&best, hosts, key)
 	}
 	return best.ids()
 }
 
 // replaceLast puts the best host of another zone in the last rank, so that the
 // death of a zone leaves a successor.
-func (m *Map) replaceLast(r *ranking, key uint64) {
+func replaceLast(r *ranking, hosts []bucket, key uint64) {
 	zone := r.entries[0].bucket.host.Zone()
 	other := newRanking(1)
-	for _, b := range m.hosts {
+	for _, b := range hosts {
 		if b.host.Zone() != zone {
 			other.offer(b, b.score(key))
 		}
@@ -149,12 +171,47 @@
 	if len(other.entries) == 0 {
 		return
 	}
-	if len(r.entries) == Claimants {
-		r.entries = r.entries[:Claimants-1]
+	if len(r.entries) == Electors {
+		r.entries = r.entries[:Electors-1]
 	}
 	r.entries = append(r.entries, other.entries[0])
 }
 
+// region returns the hosts of the zone's region, so that regions that lose each
+// other go on owning their endpoints; all hosts if too few are there.
+func (m *Map) region(id bbtfleet.ZoneID) []bucket {
+	name := m.regionOf(id)
+	if hosts, ok := m.regions[name]; ok {
+		return hosts
+	}
+	var hosts []bucket
+	for _, b := range m.hosts {
+		if m.regionOf(b.host.Zone()) == name {
+			hosts = append(hosts, b)
+		}
+	}
+	if len(hosts) < Electors {
+		hosts = m.hosts
+	}
+	m.regions[name] = hosts
+	return hosts
+}
+
+// regionOf returns the zone's region.
+func (m *Map) regionOf(id bbtfleet.ZoneID) string {
+	z, _ := m.config.Zone(id)
+	return z.Region()
+}
+
+// listed reports whether the host is in the host list, live or leaving.
+func (m *Map) listed(id bbtfleet.HostID) bool { return m.known[id] }
+
+// has reports whether the configuration has the endpoint.
+func (m *Map) has(id bbtfleet.EndpointID) bool {
+	_, ok := m.config.Endpoint(id)
+	return ok
+}
+
 // zoneOut reports whether operators have taken the zone out.
 func (m *Map) zoneOut(id bbtfleet.ZoneID) bool {
 	z, _ := m.config.Zone(id)
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
@@ -66,6 +68,7 @@
 	}
 	d.place(now)
 	if c.State == bbtmember.Dead {
+		d.step(now, bbtexec.PeerLost{Host: c.Host})
 		d.doOwner(now, d.owner.Forget(now, c.Host))
 		d.doEntry(now, d.entry.HostLost(now, c.Host))
 	}
@@ -86,6 +89,7 @@
 	d.counters.Set("host-list-revision", int64(hosts.Revision()))
 	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
 	d.doMember(now, d.member.SetHosts(now, hosts))
+	d.step(now, bbtexec.ViewConfirmed{View: bbthome.NewView(hosts)})
 	d.rank(now)
 }
 
@@ -100,6 +104,7 @@
 	if d.config == nil {
 		return
 	}
+	d.callers = d.reachable()
 	targets, owned := d.targets()
 	d.poll(owned)
 	d.doEntry(now, d.entry.View(now, targets))
@@ -131,7 +136,7 @@
 // ownerOf returns the first host in the endpoint's ranks that is up.
 func (d *Daemon) ownerOf(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
 	for _, host := range d.places.Ranks(id) {
-		if host == d.id || d.member.State(host) < bbtmember.Leaving {
+		if d.up(host) {
 			return host, true
 		}
 	}
