bbtdaemon: contract rates over all hosts; requests that crash endpoints

A request passes its account's rates, asking other homes for credit where this host is short, and then the guard of its fingerprint. A repeat after a dispatch whose connection the endpoint broke off asks the guard anew.

--- a/io/bbtdaemon/action.go
+++ b/io/bbtdaemon/action.go
@@ -6,8 +6,10 @@
 	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtlimit"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtverdict"
 	"bluebelltray/core/bbtview"
 )
@@ -41,7 +43,10 @@
 }
 
 // send passes a message to a host, which may be this one.
-func (d *Daemon) send(to bbtfleet.HostID, msg bbtgrant.Message) {
+func (d *Daemon) send(to bbtfleet.HostID, msg bbtgrant.Message) { d.tell(to, msg) }
+
+// tell passes any message to a host, which may be this one.
+func (d *Daemon) tell(to bbtfleet.HostID, msg any) {
 	if to == d.id {
 		d.local = append(d.local, msg)
 		return
@@ -74,6 +79,16 @@
 		d.doEntry(now, d.entry.Granted(now, from, m))
 	case bbtgrant.Shed:
 		d.doEntry(now, d.entry.Shedded(now, from, m))
+	case bbtlimit.Message:
+		d.receiveLimits(now, from, m)
+	case bbtsuspect.Claim:
+		d.tell(from, d.guard.Claim(now, m))
+	case bbtsuspect.Grant:
+		d.claimGranted(now, m)
+	case bbtsuspect.Release:
+		d.guard.Release(now, m)
+	case bbtsuspect.Notice:
+		d.suspicions.Merge(now, m)
 	case Forward:
 		d.forwarded(now, from, m)
 	case bbtexec.Message:
@@ -97,6 +112,8 @@
 		d.doEntry(now, d.entry.Finished(now, a.Request, outcome))
 		return
 	}
+	j.target = bbtsuspect.Crash{Endpoint: ep.ID(), Incarnation: a.Permit.Incarnation}
+	d.tracker.Begin(ep.ID(), j.print)
 	x := dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
 	if j.call != nil {
 		d.attempt(now, x)
@@ -112,6 +129,7 @@
 func (d *Daemon) attempt(now time.Time, x dispatch) {
 	number, ok := d.exec.Dispatch(now, x.job.call.id)
 	if !ok {
+		d.ended(now, x.job, bbtgrant.Cancelled, false)
 		d.doEntry(now, d.entry.Finished(now, x.job.id, bbtroute.Outcome{Kind: bbtgrant.Cancelled}))
 		return
 	}
@@ -129,6 +147,8 @@
 		return
 	}
 	delete(d.jobs, a.Request)
+	d.release(j, nil, false)
+	d.settle(now, j, 0)
 	err := a.Err
 	if j.call != nil {
 		d.rejectCall(now, j, err)
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -15,9 +15,11 @@
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtledger"
+	"bluebelltray/core/bbtlimit"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtticket"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbthttp"
@@ -33,6 +35,7 @@
 	tickPeriod      = 50 * time.Millisecond
 	execPeriod      = time.Second
 	secretBytes     = 32
+	unsettledMargin = 3 * time.Second
 	loadPeriod      = 500 * time.Millisecond
 	loadTimeout     = time.Second
 	defaultLifetime = 30 * time.Second
@@ -41,38 +44,46 @@
 // Daemon is one entry host. All its state belongs to the goroutine of run;
 // other goroutines pass it events.
 type Daemon struct {
-	id       bbtfleet.HostID
-	start    time.Time
-	log      *zap.Logger
-	counters *bbtmetric.Counters
-	platform bluebelltray.Platform
-	peers    *bbtpeer.Node
-	backend  bluebelltray.Backend
-	loads    *bbthttp.LoadReader
-	lifetime time.Duration // of an address answer
-	events   chan event
-	ctx      context.Context
-	cancel   context.CancelFunc
-	done     sync.WaitGroup
-
-	keeper   *bbtview.Keeper
-	member   *bbtmember.Member
-	entry    *bbtroute.Entry
-	owner    *bbtgrant.Owner
-	config   *bbtfleet.Configuration
-	hosts    bbtfleet.HostList
-	places   *bbtowner.Map // over all hosts of the list
-	callers  *bbtowner.Map // over the hosts that callers may be sent to
-	leaving  bool
-	jobs     map[bbtgrant.RequestID]*job
-	lastID   bbtgrant.RequestID
-	exec     *bbtexec.Executor
-	calls    map[bbtexec.CallID]*call
-	lastCall bbtexec.CallID
-	second   time.Time // when the executor was told the time last
-	local    []any
-	pollers  map[bbtfleet.EndpointID]*poller
-	asking   *bbtpeer.Exchange // of the peer's question at hand
+	id          bbtfleet.HostID
+	incarnation bbtfleet.Incarnation
+	start       time.Time
+	log         *zap.Logger
+	counters    *bbtmetric.Counters
+	platform    bluebelltray.Platform
+	peers       *bbtpeer.Node
+	backend     bluebelltray.Backend
+	loads       *bbthttp.LoadReader
+	lifetime    time.Duration // of an address answer
+	events      chan event
+	ctx         context.Context
+	cancel      context.CancelFunc
+	done        sync.WaitGroup
+
+	keeper     *bbtview.Keeper
+	member     *bbtmember.Member
+	entry      *bbtroute.Entry
+	owner      *bbtgrant.Owner
+	config     *bbtfleet.Configuration
+	hosts      bbtfleet.HostList
+	places     *bbtowner.Map // over all hosts of the list
+	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	leaving    bool
+	jobs       map[bbtgrant.RequestID]*job
+	lastID     bbtgrant.RequestID
+	exec       *bbtexec.Executor
+	calls      map[bbtexec.CallID]*call
+	lastCall   bbtexec.CallID
+	limiter    *bbtlimit.Limiter
+	held       map[bbtfleet.AccountID][]held
+	suspicions *bbtsuspect.Suspicions
+	tracker    *bbtsuspect.Tracker
+	guard      *bbtsuspect.Guard
+	claims     map[uint64]*claim // by copy number
+	lastCopy   uint64
+	second     time.Time // when the executor was told the time last
+	local      []any
+	pollers    map[bbtfleet.EndpointID]*poller
+	asking     *bbtpeer.Exchange // of the peer's question at hand
 }
 
 // Option sets an optional part of a Daemon.
@@ -98,27 +109,35 @@
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
 	ctx, cancel := context.WithCancel(context.Background())
 	var p parser
+	suspicions := new(bbtsuspect.Suspicions)
 	d := &Daemon{
-		id:       id,
-		start:    start,
-		log:      zap.NewNop(),
-		counters: bbtmetric.New(),
-		platform: platform,
-		peers:    peers,
-		backend:  bbthttp.NewBackend(),
-		loads:    bbthttp.NewLoadReader(loadTimeout),
-		lifetime: defaultLifetime,
-		events:   make(chan event, eventQueue),
-		ctx:      ctx,
-		cancel:   cancel,
-		keeper:   bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
-		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
-		entry:    bbtroute.New(id, start),
-		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
-		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
-		calls:    make(map[bbtexec.CallID]*call),
-		jobs:     make(map[bbtgrant.RequestID]*job),
-		pollers:  make(map[bbtfleet.EndpointID]*poller),
+		id:          id,
+		incarnation: bbtfleet.Incarnation(incarnation),
+		start:       start,
+		log:         zap.NewNop(),
+		counters:    bbtmetric.New(),
+		platform:    platform,
+		peers:       peers,
+		backend:     bbthttp.NewBackend(),
+		loads:       bbthttp.NewLoadReader(loadTimeout),
+		lifetime:    defaultLifetime,
+		events:      make(chan event, eventQueue),
+		ctx:         ctx,
+		cancel:      cancel,
+		keeper:      bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
+		member:      bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
+		entry:       bbtroute.New(id, start),
+		owner:       bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
+		exec:        newExecutor(id, bbtfleet.Incarnation(incarnation), start),
+		calls:       make(map[bbtexec.CallID]*call),
+		limiter:     bbtlimit.New(id),
+		held:        make(map[bbtfleet.AccountID][]held),
+		suspicions:  suspicions,
+		tracker:     bbtsuspect.NewTracker(suspicions),
+		guard:       bbtsuspect.NewGuard(suspicions),
+		claims:      make(map[uint64]*claim),
+		jobs:        make(map[bbtgrant.RequestID]*job),
+		pollers:     make(map[bbtfleet.EndpointID]*poller),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -178,7 +197,11 @@
 		d.second = now
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
+		d.limiter.Tick(now)
+		d.suspicions.Expire(now)
 	}
+	d.resumeDue(now)
+	d.claimsDue(now)
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
--- a/io/bbtdaemon/dispatch.go
+++ b/io/bbtdaemon/dispatch.go
@@ -44,7 +44,14 @@
 		kind = bbtgrant.Cancelled
 		x.job.refuse(err)
 	}
-	x.daemon.post(failed{finished{id: x.job.id, outcome: bbtroute.Outcome{Kind: kind}}, err})
+	ev := finished{id: x.job.id, outcome: bbtroute.Outcome{Kind: kind}, crashed: brokenOff(kind, err)}
+	x.daemon.post(failed{ev, err})
+}
+
+// brokenOff reports whether a dispatch was lost because the endpoint ended the
+// connection, as it does when it dies.
+func brokenOff(kind bbtgrant.Outcome, err *bbtverdict.Error) bool {
+	return kind == bbtgrant.Lost && err.Reason() != bbtverdict.ReasonEndpointSilent
 }
 
 // failed says that a dispatch brought no answer and why.
@@ -83,9 +90,9 @@
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
-		a.end(bbtgrant.Finished)
+		a.end(bbtgrant.Finished, nil)
 	default:
-		a.end(bbtgrant.Lost)
+		a.end(bbtgrant.Lost, err)
 	}
 	return n, err
 }
@@ -93,12 +100,12 @@
 // Close ends the answer; one that has not ended is cancelled.
 func (a *trackedAnswer) Close() error {
 	err := a.Answer.Close()
-	a.end(bbtgrant.Cancelled)
+	a.end(bbtgrant.Cancelled, nil)
 	return err
 }
 
 // end reports the end of the dispatch once.
-func (a *trackedAnswer) end(kind bbtgrant.Outcome) {
+func (a *trackedAnswer) end(kind bbtgrant.Outcome, err error) {
 	if a.ended {
 		return
 	}
@@ -107,6 +114,7 @@
 		id:      a.id,
 		outcome: bbtroute.Outcome{Kind: kind, Output: a.tokens},
 		started: true,
+		crashed: brokenOff(kind, bbtverdict.As(err, bbtverdict.ReasonEndpointLost)),
 	})
 }
 
--- a/io/bbtdaemon/event.go
+++ b/io/bbtdaemon/event.go
@@ -27,6 +27,7 @@
 	id      bbtgrant.RequestID
 	outcome bbtroute.Outcome
 	started bool // the caller has the head of the answer
+	crashed bool // the endpoint broke the connection off
 }
 
 // received is a message from a peer.
@@ -59,11 +60,18 @@
 }
 
 func (ev finished) apply(d *Daemon, now time.Time) {
+	j := d.jobs[ev.id]
+	if j != nil {
+		d.conclude(now, j, ev)
+	}
 	d.doEntry(now, d.entry.Finished(now, ev.id, ev.outcome))
 	if ev.started {
 		delete(d.jobs, ev.id)
 		d.doEntry(now, d.entry.Cancel(now, ev.id))
 	}
+	if ev.crashed && d.jobs[ev.id] != nil {
+		d.claimRepeat(now, j)
+	}
 }
 
 func (ev received) apply(d *Daemon, now time.Time) { d.receive(now, ev.from, ev.msg) }
--- a/io/bbtdaemon/execute.go
+++ b/io/bbtdaemon/execute.go
@@ -64,7 +64,7 @@
 		return
 	}
 	c.job = d.jobOf(c)
-	d.schedule(now, c.job, contract)
+	d.claim(now, c.job, contract)
 }
 
 // cancelCall withdraws a call from the scheduler.
@@ -75,6 +75,7 @@
 	}
 	delete(d.calls, id)
 	if c.job != nil {
+		d.release(c.job, nil, false)
 		delete(d.jobs, c.job.id)
 		d.doEntry(now, d.entry.Cancel(now, c.job.id))
 		c.job.cancel()
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -67,15 +67,26 @@
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonViewStale))
 		return
 	}
+	if _, ok := d.config.Contract(j.req.Account()); !ok {
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount))
+		return
+	}
+	context.AfterFunc(j.ctx, func() { d.post(cancelled{j}) })
+	d.counters.Add("requests", 1)
+	d.admit(now, j)
+}
+
+// begin starts an admitted job: through the executor unless the contract allows
+// the call to be repeated.
+func (d *Daemon) begin(now time.Time, j *job) {
 	contract, ok := d.config.Contract(j.req.Account())
 	if !ok {
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount))
 		return
 	}
-	context.AfterFunc(j.ctx, func() { d.post(cancelled{j}) })
 	repeatable := contract.Repeats(j.req.Pool()) > 0
 	if repeatable && j.req.Ticket() == "" {
-		d.schedule(now, j, contract)
+		d.claim(now, j, contract)
 		return
 	}
 	d.submitCall(now, j, repeatable)
@@ -86,7 +97,6 @@
 	d.lastID++
 	j.id = d.lastID
 	d.jobs[j.id] = j
-	d.counters.Add("requests", 1)
 	d.doEntry(now, d.entry.Submit(now, routed(now, j, contract)))
 }
 
@@ -103,6 +113,7 @@
 		Output:   j.req.MaxTokens(),
 		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
 		Repeats:  j.repeats(c),
+		Alone:    j.aloneOnly,
 	}
 }
 
@@ -112,7 +123,7 @@
 	if j.call != nil {
 		return 0
 	}
-	return c.Repeats(j.req.Pool())
+	return max(0, c.Repeats(j.req.Pool())-j.crashes)
 }
 
 // cancelJob ends a request whose caller has left. A dispatch that is under way
@@ -123,12 +134,16 @@
 		j.refuse(bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonCancelled))
 		return
 	}
+	d.settle(now, j, 0)
 	if d.jobs[j.id] != j {
+		d.release(j, nil, false)
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
 		return
 	}
 	delete(d.jobs, j.id)
 	d.doEntry(now, d.entry.Cancel(now, j.id))
 	if !j.dispatched {
+		d.release(j, nil, false)
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
 	}
 }
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -9,6 +9,7 @@
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtview"
 	"go.uber.org/zap"
 )
@@ -66,6 +67,7 @@
 		d.peers.Reset(c.Host)
 		return
 	}
+	d.unsettle(now)
 	d.place(now)
 	if c.State == bbtmember.Dead {
 		d.step(now, bbtexec.PeerLost{Host: c.Host})
@@ -77,6 +79,7 @@
 // takeConfiguration puts a configuration in force.
 func (d *Daemon) takeConfiguration(now time.Time, cfg *bbtfleet.Configuration) {
 	d.config = cfg
+	d.limiter.SetContracts(cfg)
 	d.counters.Set("configuration-revision", int64(cfg.Version().Revision()))
 	d.log.Info("configuration in force", zap.Stringer("version", cfg.Version()))
 	d.rank(now)
@@ -88,11 +91,18 @@
 	d.peers.SetHosts(hosts.Hosts())
 	d.counters.Set("host-list-revision", int64(hosts.Revision()))
 	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
+	d.unsettle(now)
 	d.doMember(now, d.member.SetHosts(now, hosts))
 	d.step(now, bbtexec.ViewConfirmed{View: bbthome.NewView(hosts)})
 	d.rank(now)
 }
 
+// unsettle says that another host may have guarded this host's requests until
+// now.
+func (d *Daemon) unsettle(now time.Time) {
+	d.guard.Unsettle(now.Add(bbtsuspect.ClaimTime + unsettledMargin))
+}
+
 // rank computes the placement anew.
 func (d *Daemon) rank(now time.Time) {
 	d.places = bbtowner.NewMap(d.config, d.hosts)
@@ -105,6 +115,7 @@
 		return
 	}
 	d.callers = d.reachable()
+	d.limitHosts()
 	targets, owned := d.targets()
 	d.poll(owned)
 	d.doEntry(now, d.entry.View(now, targets))
--- a/io/bbtdaemon/wire.go
+++ b/io/bbtdaemon/wire.go
@@ -3,7 +3,9 @@
 import (
 	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtlimit"
 	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbtpeer"
 )
@@ -30,5 +32,10 @@
 		bbtexec.ForwardCancel{},
 		bbtexec.IssueRequest{},
 		bbtexec.IssueReply{},
+		bbtlimit.Message{},
+		bbtsuspect.Claim{},
+		bbtsuspect.Grant{},
+		bbtsuspect.Release{},
+		bbtsuspect.Notice{},
 	)
 }
