core/bbtexec: a call is not forgotten when a connection is replaced

Cause: when a host noticed late that its connection to a peer had ended, it withdrew in silence also what the peer had passed on over the next connection, and the peer's caller waited for ever. A reply that could not be queued was dropped with the same effect. Now such calls are refused not-run with a reply, what runs goes on and replies, and replies that could not be sent are sent again at the next ticks, at most 256 and for a minute. Ruled out: sending the question again, which would carry the body each time.

Mutations seen to fail: calls withdrawn in silence, running ones taken for deserted, other callers' requests refused, replies not held, held without bound or end, sent twice.

--- a/core/bbtexec/counts.go
+++ b/core/bbtexec/counts.go
@@ -5,12 +5,17 @@
 type Counts struct {
 	staleReplies uint64
 	staleAnswers uint64
+	lostReplies  uint64
 }
 
 // StaleReplies returns how many replies of peers came late, doubled, crossed
 // or for a former process of this host.
 func (c Counts) StaleReplies() uint64 { return c.staleReplies }
 
+// LostReplies returns how many replies to peers could not be sent for a minute
+// or gave way to others.
+func (c Counts) LostReplies() uint64 { return c.lostReplies }
+
 // StaleAnswers returns how many answers of endpoints came from a former
 // dispatch or for a call that is over.
 func (c Counts) StaleAnswers() uint64 { return c.staleAnswers }
--- a/core/bbtexec/executor.go
+++ b/core/bbtexec/executor.go
@@ -26,6 +26,7 @@
 	pending  map[uint64]pending
 	peers    map[bbtfleet.HostID]bbtfleet.Incarnation // newest known process of each peer
 	nextID   uint64
+	unsent   replies
 	draining bool
 	counts   Counts
 	out      []Action
@@ -45,7 +46,11 @@
 }
 
 // Counts returns the drops since the start.
-func (e *Executor) Counts() Counts { return e.counts }
+func (e *Executor) Counts() Counts {
+	c := e.counts
+	c.lostReplies = e.unsent.lost
+	return c
+}
 
 // Calls returns the number of calls that are not yet over.
 func (e *Executor) Calls() int { return len(e.calls) }
--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -110,7 +110,8 @@
 	})
 }
 
-// sendFailed ends the call of a message that did not leave.
+// sendFailed ends the call of a question that did not leave, and holds a reply
+// for the next tick.
 func (e *Executor) sendFailed(now time.Time, ev SendFailed) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
@@ -121,6 +122,8 @@
 		if c := e.unreached(m.Request.ID); c != nil {
 			e.refuse(c, notReached(c.first, bbtverdict.ReasonExecutorGone))
 		}
+	case ForwardReply:
+		e.unsent.keep(now, origin{host: ev.To, request: m.Request}, m)
 	}
 }
 
@@ -151,18 +154,37 @@
 			e.refuse(c, mayHaveRun(bbtverdict.ReasonExecutorGone))
 		}
 	}
-	e.originLost(h)
+	e.originLost(now, h)
 }
 
-// originLost forgets the calls that a lost peer passed on.
-func (e *Executor) originLost(h bbtfleet.HostID) {
+// originLost refuses what waits only for callers of a lost peer. The peer may
+// have passed some of it on over a newer connection, so each call gets a
+// reply. What runs goes on and replies in the end.
+func (e *Executor) originLost(now time.Time, h bbtfleet.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
-		if c := e.calls[id]; c != nil && c.origin.host == h {
-			e.callerGone(id)
+		c := e.calls[id]
+		if c == nil || c.origin.host != h || !e.onlyFrom(c.seq, h) {
+			continue
+		}
+		if e.ledger.State(c.seq, c.account) != bbtledger.Waiting {
+			continue
 		}
+		e.do(Cancel{Call: e.attached[c.seq][0]})
+		e.rejected(now, Rejected{Call: id, Reason: bbtverdict.ReasonCancelled})
 	}
 }
 
+// onlyFrom reports whether each caller that waits for a ledger entry is one of
+// the given peer.
+func (e *Executor) onlyFrom(seq uint64, h bbtfleet.HostID) bool {
+	for _, id := range e.attached[seq] {
+		if c := e.calls[id]; !c.gone && c.origin.host != h {
+			return false
+		}
+	}
+	return true
+}
+
 // withdraw forgets a call that waits for a peer and tells the peer.
 func (e *Executor) withdraw(c *call) {
 	delete(e.calls, c.id)
@@ -179,8 +201,11 @@
 	}
 }
 
-// tick expires what is over.
+// tick expires what is over and sends held replies again.
 func (e *Executor) tick(now time.Time) {
+	for _, s := range e.unsent.take(now) {
+		e.do(s)
+	}
 	e.ledger.Expire(now)
 	e.home.Expire(now)
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
--- a/core/bbtexec/seeds_test.go
+++ b/core/bbtexec/seeds_test.go
@@ -15,6 +15,7 @@
 	for seed := range seeds {
 		w := bbtworld.New(rand.New(rand.NewPCG(seed, uint64(f))), 4, f)
 		w.Run(steps)
+		w.Quiesce()
 		if err := w.Err(); err != nil {
 			t.Fatalf("faults %v, seed %d: %v", f, seed, err)
 		}
--- a/core/bbtexec/world_test.go
+++ b/core/bbtexec/world_test.go
@@ -28,6 +28,7 @@
 	rapid.Check(t, func(rt *rapid.T) {
 		w := bbtworld.New(chooser{rt}, 4, bbtworld.All)
 		w.Run(400)
+		w.Quiesce()
 		if err := w.Err(); err != nil {
 			rt.Fatal(err)
 		}
--- a/internal/bbtworld/network.go
+++ b/internal/bbtworld/network.go
@@ -30,6 +30,11 @@
 		}
 	}
 	if (!to.alive || w.cut[linkOf(n, to)]) && w.chance(2) {
+		w.disconnect(n, to)
+		w.step(n, bbtexec.SendFailed{To: a.To, Message: a.Message})
+		return
+	}
+	if w.faults.has(Cuts) && w.chance(20) { // the queue to the peer is full
 		w.step(n, bbtexec.SendFailed{To: a.To, Message: a.Message})
 		return
 	}
@@ -49,6 +54,7 @@
 	if !p.to.alive || w.cut[linkOf(p.from, p.to)] {
 		if w.chance(2) {
 			w.net = drop(w.net, at)
+			w.disconnect(p.from, p.to)
 		}
 		return
 	}
--- a/internal/bbtworld/schedule.go
+++ b/internal/bbtworld/schedule.go
@@ -74,6 +74,7 @@
 		{weightFault, Cuts, always, w.aCut},
 		{weightFault, Cuts, always, w.aLostPeer},
 		{weightWork / 2, Kills, always, w.aGreeting},
+		{weightWork, 0, func() bool { return len(w.losses) > 0 }, w.notice},
 		{weightWork / 2, 0, func() bool { return len(w.stopped()) > 0 }, w.aRecovery},
 	}
 }
@@ -123,9 +124,16 @@
 }
 
 func (w *World) aKill() {
-	if n, _ := pick(w, w.nodes); n.alive {
-		n.alive = false
+	n, _ := pick(w, w.nodes)
+	if !n.alive {
+		return
+	}
+	for _, o := range w.nodes {
+		if o != n {
+			w.disconnect(o, n)
+		}
 	}
+	n.alive = false
 }
 
 func (w *World) aPause() {
@@ -161,8 +169,8 @@
 
 func (w *World) aLostPeer() {
 	n, _ := pick(w, w.nodes)
-	if o, _ := pick(w, w.nodes); n.able() && n != o {
-		w.step(n, bbtexec.PeerLost{Host: o.id})
+	if o, _ := pick(w, w.nodes); n != o {
+		w.disconnect(n, o)
 	}
 }
 
--- a/internal/bbtworld/world.go
+++ b/internal/bbtworld/world.go
@@ -29,6 +29,7 @@
 	running  []write
 	reads    []read
 	cut      map[link]bool
+	losses   []loss
 	lists    []published
 	nextCall bbtexec.CallID
 	tally    Tally
--- a/internal/keyrun/faults.go
+++ b/internal/keyrun/faults.go
@@ -35,6 +35,7 @@
 	for seed := range f.Seeds {
 		w := bbtworld.New(rand.New(rand.NewPCG(seed, uint64(kind))), f.Hosts, kind)
 		w.Run(f.Steps)
+		w.Quiesce()
 		if w.Err() != nil {
 			violations++
 		}
