--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -218,6 +218,17 @@
 	}
 }
 
+func TestHomeGrantsWhatIsNeededOrNothing(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 300))
+	for _, tt := range []struct{ needed, least, most uint64 }{{400_000, 0, 0}, {200_000, 200_000, 300_000}, {300_000, 0, 0}} {
+		k := bbtlimit.Ask{ID: 1, Account: "a", Tokens: 500_000, NeededTokens: tt.needed}
+		sends, _ := l.Receive(start, "entry-9", bbtlimit.Message{Asks: []bbtlimit.Ask{k}})
+		if got := sends[0].Message.Grants[0].Tokens; got < tt.least || got > tt.most {
+			t.Errorf("needed %d: got %d granted, want %d to %d", tt.needed, got, tt.least, tt.most)
+		}
+	}
+}
+
 func TestSilentHomeEndsInARefusal(t *testing.T) {
 	hosts := names(2)
 	c := contract("a", 100, 1000)
