--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -10,6 +10,7 @@
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtlimit"
+	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtverdict"
 )
 
@@ -162,6 +163,25 @@
 	}
 }
 
+func TestCallersAreSentToHomes(t *testing.T) {
+	var contracts []bbtfleet.Contract
+	for i := range 100 {
+		contracts = append(contracts, contract(fmt.Sprintf("a-%d", i), 100, 1000))
+	}
+	ids := names(10)
+	var hosts []bbtfleet.Host
+	for _, id := range ids {
+		hosts = append(hosts, bbtfleet.NewHost(id, "z"))
+	}
+	l := newLimiter(ids, contracts...)
+	m := bbtowner.NewMap(nil, bbtfleet.NewHostList(1, hosts))
+	for _, c := range contracts {
+		if got, want := m.Homes(c.Account())[0], l.Homes(c.Account())[0]; got != want {
+			t.Errorf("%s: got callers sent to %s, want its home %s", c.Account(), got, want)
+		}
+	}
+}
+
 func TestIdleAccountsAreForgotten(t *testing.T) {
 	l := newLimiter(names(1), contract("a", 100, 1000), contract("b", 100, 10_000))
 	l.Admit(start, "a", 500)
