--- /dev/null
+++ b/core/bbtowner/bench_test.go
@@ -0,0 +1,37 @@
+package bbtowner_test
+
+import (
+	"fmt"
+	"testing"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtowner"
+)
+
+// BenchmarkMap places 600 endpoints anew, as after each change of the view.
+func BenchmarkMap(b *testing.B) {
+	for _, n := range []int{100, 200, 400, 800} {
+		cfg := fleetMap(n, "", all).Configuration()
+		list := bbtfleet.NewHostList(1, hosts(n, all))
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				m := bbtowner.NewMap(cfg, list)
+				for _, ep := range cfg.Endpoints() {
+					m.Ranks(ep.ID())
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkAddresses answers one caller's question for its addresses.
+func BenchmarkAddresses(b *testing.B) {
+	for _, n := range []int{100, 200, 400, 800} {
+		m := fleetMap(n, "", all)
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for i := 0; b.Loop(); i++ {
+				m.Addresses(bbtfleet.AccountID(fmt.Sprintf("account-%05d", i%fleetAccounts)))
+			}
+		})
+	}
+}
--- a/core/bbtowner/move.go
+++ b/core/bbtowner/move.go
@@ -8,7 +8,8 @@
 	"bluebelltray/core/bbtfleet"
 )
 
-// SetMap gives the placement in force. Electors that it replaces keep their say
+// SetMap gives the placement in force, the first one when the host begins to
+// serve: before, its view may be older than that of its former process. Electors that it replaces keep their say
 // until they are known to have it too or have left the host list.
 func (e *Elector) SetMap(now time.Time, m *Map) []Action {
 	old := e.placing
--- a/internal/fleetrun/host.go
+++ b/internal/fleetrun/host.go
@@ -198,13 +198,14 @@
 			h.place(now)
 		case bbtview.Serve:
 			h.world.checks.served(h)
+			h.place(now)
 		}
 	}
 }
 
-// place gives the Elector the placement of the view.
+// place gives the Elector the placement of the view, once that is complete.
 func (h *host) place(now time.Time) {
-	if h.keeper.Configuration() != nil && h.keeper.Hosts().Revision() > 0 {
+	if h.keeper.Serving() {
 		m := bbtowner.NewMap(h.keeper.Configuration(), h.keeper.Hosts())
 		h.doOwner(now, h.elector.SetMap(now, m))
 	}
