--- a/core/bbtmember/member_test.go
+++ b/core/bbtmember/member_test.go
@@ -207,6 +207,23 @@
 	}
 }
 
+func TestReturnOfAnUnknownProcessIsReported(t *testing.T) {
+	m := bbtmember.New("h0", 1, rand.New(rand.NewPCG(1, 1)))
+	hosts := []bbtfleet.Host{bbtfleet.NewHost("h0", "z"), bbtfleet.NewHost("h1", "z"), bbtfleet.NewHost("h2", "z")}
+	now := time.Unix(0, 0)
+	m.SetHosts(now, bbtfleet.NewHostList(1, hosts))
+	m.Receive(now, "h2", bbtmember.Ping{Seq: 1, Incarnation: 1, Changes: []bbtmember.Change{{Host: "h1", State: bbtmember.Dead}}}, bbtview.Digest{})
+	if got := m.State("h1"); got != bbtmember.Dead {
+		t.Fatalf("got state %v, want dead", got)
+	}
+	for _, a := range m.Receive(now, "h1", bbtmember.Ping{Seq: 1, Incarnation: 1}, bbtview.Digest{}) {
+		if c, ok := a.(bbtmember.Changed); ok && c.Host == "h1" && c.State == bbtmember.Alive {
+			return
+		}
+	}
+	t.Error("got no Changed to alive")
+}
+
 func TestCostDoesNotGrowWithTheFleet(t *testing.T) {
 	const seconds = 20
 	for _, n := range []int{20, 60, 120} {
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -101,7 +101,7 @@
 		return nil
 	}
 	before := p.state
-	first := p.incarnation == 0 && c.State == Alive
+	first := p.incarnation == 0 && before == Alive && c.State == Alive
 	p.incarnation, p.round, p.state = c.Incarnation, c.Round, c.State
 	if first {
 		return nil
--- a/core/bbtowner/doc.go
+++ b/core/bbtowner/doc.go
@@ -7,4 +7,3 @@
 // itself included, has promised it not to support another one. Promises are
 // held in memory and run out by themselves.
 package bbtowner
-
--- a/internal/fleetrun/checks.go
+++ b/internal/fleetrun/checks.go
@@ -98,6 +98,20 @@
 	c.detected(h, a.Host)
 }
 
+// wrong returns the number of hosts that believe another one dead though both
+// run and reach each other.
+func (w *world) wrong() int {
+	n := 0
+	for _, h := range w.up() {
+		for _, other := range w.up() {
+			if !other.unlisted && !w.severed(h.id, other.id) && !w.severed(other.id, h.id) && h.member.State(other.id) == bbtmember.Dead {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // acquired checks that the endpoint has no other owner.
 func (c *checks) acquired(h *host, a bbtowner.Acquired) {
 	if c.owners[a.Endpoint] == nil {
