--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -97,11 +97,11 @@
 // apply takes a newer change and sends it on.
 func (m *Member) apply(now time.Time, c Change) []Action {
 	p := m.peers[bbtfleet.HostID(c.Host)]
-	if p == nil || !p.replacedBy(c) || p.unproven(c) {
+	if p == nil || !p.replacedBy(c) {
 		return nil
 	}
 	before := p.state
-	first := p.incarnation == 0 && c.State == Alive
+	first := p.incarnation == 0 && before == Alive && c.State == Alive
 	p.incarnation, p.round, p.state = c.Incarnation, c.Round, c.State
 	if first {
 		return nil
