--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -6,15 +6,29 @@
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtverdict"
 )
 
+// peerSeen remembers the newest process of a peer and ends the calls that wait
+// for a former one.
+func (e *Executor) peerSeen(now time.Time, ev PeerSeen) {
+	if ev.Incarnation <= e.peers[ev.Host] {
+		return
+	}
+	known := e.peers[ev.Host] != 0
+	e.peers[ev.Host] = ev.Incarnation
+	if known {
+		e.peerLost(now, ev.Host)
+	}
+}
+
 // received takes a peer's message.
 func (e *Executor) received(now time.Time, ev Received) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
-		r := e.issueKeyed(now, m.Account, m.Key, m.First)
+		r := e.issueKeyed(now, bbthome.NewKey(m.Account, m.Key), m.Claim)
 		r.Request = m.Request
 		e.do(Send{To: ev.From, Message: r})
 	case IssueReply:
@@ -35,7 +49,6 @@
 		account:     m.Account,
 		ticket:      m.Ticket,
 		fingerprint: m.Fingerprint,
-		first:       m.First,
 		origin:      origin{host: ev.From, request: m.Request},
 	}
 	e.calls[c.id] = c
@@ -73,7 +86,7 @@
 	}
 	if now.Sub(c.asked) >= IssueTimeout {
 		e.counts.staleReplies++
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		return
 	}
 	e.settle(now, c, m)
@@ -97,30 +110,35 @@
 	})
 }
 
-// sendFailed ends the call of a message that did not leave.
-func (e *Executor) sendFailed(ev SendFailed) {
+// sendFailed ends the call of a question that did not leave, and holds a reply
+// for the next tick.
+func (e *Executor) sendFailed(now time.Time, ev SendFailed) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonHomeUnreachable)
+		if c := e.unreached(m.Request.ID); c != nil {
+			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
+		}
 	case ForwardRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonExecutorGone)
+		if c := e.unreached(m.Request.ID); c != nil {
+			e.refuse(c, notReached(c.first, bbtverdict.ReasonExecutorGone))
+		}
+	case ForwardReply:
+		e.unsent.keep(now, origin{host: ev.To, request: m.Request}, m)
 	}
 }
 
-// unreached ends the call of a message that reached nobody.
-func (e *Executor) unreached(id uint64, r bbtverdict.Reason) {
+// unreached returns the call of a message that reached nobody, or nil.
+func (e *Executor) unreached(id uint64) *call {
 	p, ok := e.pending[id]
 	if !ok {
-		return
+		return nil
 	}
 	delete(e.pending, id)
-	if c := e.calls[p.call]; c != nil {
-		e.refuse(c, notReached(c.first, r))
-	}
+	return e.calls[p.call]
 }
 
 // peerLost ends the calls whose reply will not come.
-func (e *Executor) peerLost(h bbtfleet.HostID) {
+func (e *Executor) peerLost(now time.Time, h bbtfleet.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
 		p := e.pending[id]
 		if p.to != h {
@@ -131,23 +149,42 @@
 		switch {
 		case c == nil:
 		case c.ticket == "":
-			e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		default:
 			e.refuse(c, mayHaveRun(bbtverdict.ReasonExecutorGone))
 		}
 	}
-	e.originLost(h)
+	e.originLost(now, h)
 }
 
-// originLost forgets the calls that a lost peer passed on.
-func (e *Executor) originLost(h bbtfleet.HostID) {
+// originLost refuses what waits only for callers of a lost peer. The peer may
+// have passed some of it on over a newer connection, so each call gets a
+// reply. What runs goes on and replies in the end.
+func (e *Executor) originLost(now time.Time, h bbtfleet.HostID) {
 	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
-		if c := e.calls[id]; c != nil && c.origin.host == h {
-			e.callerGone(id)
+		c := e.calls[id]
+		if c == nil || c.origin.host != h || !e.onlyFrom(c.seq, h) {
+			continue
+		}
+		if e.ledger.State(c.seq, c.account) != bbtledger.Waiting {
+			continue
 		}
+		e.do(Cancel{Call: e.attached[c.seq][0]})
+		e.rejected(now, Rejected{Call: id, Reason: bbtverdict.ReasonCancelled})
 	}
 }
 
+// onlyFrom reports whether each caller that waits for a ledger entry is one of
+// the given peer.
+func (e *Executor) onlyFrom(seq uint64, h bbtfleet.HostID) bool {
+	for _, id := range e.attached[seq] {
+		if c := e.calls[id]; !c.gone && c.origin.host != h {
+			return false
+		}
+	}
+	return true
+}
+
 // withdraw forgets a call that waits for a peer and tells the peer.
 func (e *Executor) withdraw(c *call) {
 	delete(e.calls, c.id)
@@ -164,8 +201,11 @@
 	}
 }
 
-// tick expires what is over.
+// tick expires what is over and sends held replies again.
 func (e *Executor) tick(now time.Time) {
+	for _, s := range e.unsent.take(now) {
+		e.do(s)
+	}
 	e.ledger.Expire(now)
 	e.home.Expire(now)
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
@@ -174,6 +214,6 @@
 			continue
 		}
 		delete(e.pending, id)
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 	}
 }
--- a/core/bbtmember/peer.go
+++ b/core/bbtmember/peer.go
@@ -13,7 +13,7 @@
 	incarnation uint64
 	round       uint32
 	suspected   time.Time // when the state became Suspect
-	contact     Contact
+	unlisted    time.Time // when the host left the host list, zero while it is there
 }
 
 // change returns the peer's state as a Change.
--- a/core/bbtowner/map.go
+++ b/core/bbtowner/map.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Claimants is the number of hosts that may own an endpoint under one host
-// list: the owner and its successors.
-const Claimants = 3
+// Electors is the number of hosts that may own an endpoint under one view: the
+// owner and its successors.
+const Electors = 3
 
 // accountHomes is the number of home hosts of a client account.
 const accountHomes = 2
@@ -21,10 +21,13 @@
 // Map places endpoints, client accounts and keys on the live hosts of one
 // view. It remembers the ranks it computes and is not safe for concurrent use.
 type Map struct {
-	config *bbtfleet.Configuration
-	list   bbtfleet.Revision
-	hosts  []bucket
-	ranks  map[bbtfleet.EndpointID][]bbtfleet.HostID
+	config  *bbtfleet.Configuration
+	list    bbtfleet.Revision
+	hosts   []bucket
+	known   map[bbtfleet.HostID]bool // live and leaving hosts
+	zones   map[bbtfleet.ZoneID][]bucket
+	regions map[string][]bucket
+	ranks   map[bbtfleet.EndpointID][]bbtfleet.HostID
 }
 
 // NewMap returns the placement over the live hosts of list. The configuration
@@ -33,13 +36,27 @@
 	if cfg == nil {
 		cfg = bbtfleet.NewConfiguration(bbtfleet.Version{})
 	}
-	m := &Map{config: cfg, list: list.Revision(), ranks: make(map[bbtfleet.EndpointID][]bbtfleet.HostID)}
+	m := &Map{
+		config:  cfg,
+		list:    list.Revision(),
+		known:   make(map[bbtfleet.HostID]bool, len(list.Hosts())),
+		zones:   make(map[bbtfleet.ZoneID][]bucket),
+		regions: make(map[string][]bucket),
+		ranks:   make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
+	}
 	for _, h := range list.Hosts() {
+		m.known[h.ID()] = true
 		if h.State() == bbtfleet.HostLive {
 			m.hosts = append(m.hosts, bucket{host: h, hash: xxhash.Sum64String(string(h.ID()))})
 		}
 	}
 	slices.SortFunc(m.hosts, func(a, b bucket) int { return cmp.Compare(a.host.ID(), b.host.ID()) })
+	for _, b := range m.hosts {
+		zone := b.host.Zone()
+		region := m.regionOf(zone)
+		m.zones[zone] = append(m.zones[zone], b)
+		m.regions[region] = append(m.regions[region], b)
+	}
 	return m
 }
 
@@ -59,6 +76,17 @@
 	return ranks[0], true
 }
 
+// Likely returns the first host in the endpoint's hash order that is up, which
+// most likely owns it now, and whether there is one.
+func (m *Map) Likely(id bbtfleet.EndpointID, up func(bbtfleet.HostID) bool) (bbtfleet.HostID, bool) {
+	for _, host := range m.Ranks(id) {
+		if up(host) {
+			return host, true
+		}
+	}
+	return "", false
+}
+
 // Successors returns the hosts that own the endpoint when those before them
 // do not, in order. They must not be changed.
 func (m *Map) Successors(id bbtfleet.EndpointID) []bbtfleet.HostID {
@@ -67,7 +95,9 @@
 }
 
 // Ranks returns the owner and the successors of the endpoint; they must not be
-// changed. They are not all in one zone where another zone has a live host.
+// changed. They are in the endpoint's zone, as far as it has live hosts, then in
+// its region, so that zones and regions that lose each other go on owning their
+// endpoints and no other zone's death takes an owner away.
 func (m *Map) Ranks(id bbtfleet.EndpointID) []bbtfleet.HostID {
 	if ranks, ok := m.ranks[id]; ok {
 		return ranks
@@ -123,36 +153,44 @@
 	return best.addrs()
 }
 
-// rank computes the ranks of an endpoint in the zone.
+// rank computes the ranks of an endpoint in the zone: hosts of the zone, or if
+// it has too few, of its region, or if that has too few, of any.
 func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
 	key := endpointHash(id)
-	best := newRanking(Claimants)
-	for _, b := range m.hosts {
-		best.offer(b, b.near(key, zone))
+	ranks := m.best(m.zones[zone], key, nil)
+	if len(ranks) < Electors {
+		ranks = m.best(m.regions[m.regionOf(zone)], key, ranks)
 	}
-	if best.zones() == 1 {
-		m.replaceLast(&best, key)
+	if len(ranks) < Electors {
+		ranks = m.best(m.hosts, key, ranks)
 	}
-	return best.ids()
+	return ranks
 }
 
-// replaceLast puts the best host of another zone in the last rank, so that the
-// death of a zone leaves a successor.
-func (m *Map) replaceLast(r *ranking, key uint64) {
-	zone := r.entries[0].bucket.host.Zone()
-	other := newRanking(1)
-	for _, b := range m.hosts {
-		if b.host.Zone() != zone {
-			other.offer(b, b.score(key))
+// best fills ranks up with those of the hosts that are best for the key.
+func (m *Map) best(hosts []bucket, key uint64, ranks []bbtfleet.HostID) []bbtfleet.HostID {
+	best := newRanking(Electors - len(ranks))
+	for _, b := range hosts {
+		if !slices.Contains(ranks, b.host.ID()) {
+			best.offer(b, b.score(key))
 		}
 	}
-	if len(other.entries) == 0 {
-		return
-	}
-	if len(r.entries) == Claimants {
-		r.entries = r.entries[:Claimants-1]
-	}
-	r.entries = append(r.entries, other.entries[0])
+	return append(ranks, best.ids()...)
+}
+
+// regionOf returns the zone's region.
+func (m *Map) regionOf(id bbtfleet.ZoneID) string {
+	z, _ := m.config.Zone(id)
+	return z.Region()
+}
+
+// listed reports whether the host is in the host list, live or leaving.
+func (m *Map) listed(id bbtfleet.HostID) bool { return m.known[id] }
+
+// has reports whether the configuration has the endpoint.
+func (m *Map) has(id bbtfleet.EndpointID) bool {
+	_, ok := m.config.Endpoint(id)
+	return ok
 }
 
 // zoneOut reports whether operators have taken the zone out.
--- a/io/bbtpeer/session.go
+++ b/io/bbtpeer/session.go
@@ -1,6 +1,8 @@
 package bbtpeer
 
 import (
+	"context"
+
 	"bluebelltray/core/bbtfleet"
 	"github.com/quic-go/quic-go"
 )
@@ -14,13 +16,18 @@
 
 // run reads message streams, one at a time, until the connection ends.
 func (s *session) run() {
+	stop := context.AfterFunc(s.node.ctx, func() { s.conn.CloseWithError(0, "closed") })
+	defer stop()
 	for {
 		stream, err := s.conn.AcceptUniStream(s.node.ctx)
 		if err != nil {
-			return
+			break
 		}
 		s.read(stream)
 	}
+	if l, ok := s.node.link(s.host); ok && l.release(s.conn) {
+		s.node.report(s.host)
+	}
 }
 
 // read passes a stream's messages on. An unreadable message ends the
