proofcheck: the table of promises checked against the tree

Seen to fail, in TestFaultsAreFound: each of its eleven faults is a page or tree spoilt in one place, and the sound page has none; with checkCell made to accept any key, or the loop over mutants removed, the test fails.

--- /dev/null
+++ b/internal/proofcheck/check.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// The size of the table of promises: what must always hold, by what fails.
+const (
+	promiseCount = 10
+	faultCount   = 11
+)
+
+// steps are the commands that test.sh has to run.
+var steps = []string{"go test -race ./...", "go run ./internal/speccheck", "go run ./internal/proofcheck"}
+
+// check returns the faults of the page against the tree.
+func (d *document) check(t *tree) []string {
+	out := d.checkPromises()
+	out = append(out, d.checkEvidence(t)...)
+	out = append(out, d.checkRules(t)...)
+	for _, s := range steps {
+		if !strings.Contains(t.script, s) {
+			out = append(out, fmt.Sprintf("test.sh does not run %q", s))
+		}
+	}
+	return out
+}
+
+// checkPromises checks the shape of the table of promises and that each cell
+// names evidence or is open.
+func (d *document) checkPromises() []string {
+	var out []string
+	if len(d.promises) != promiseCount || len(d.faults) != faultCount {
+		out = append(out, fmt.Sprintf("table of %d by %d, want %d by %d",
+			len(d.promises), len(d.faults), promiseCount, faultCount))
+	}
+	for _, row := range d.promises {
+		if len(row) != faultCount+1 {
+			out = append(out, fmt.Sprintf("%s: %d cells, want %d", row[0], len(row)-1, faultCount))
+		}
+		for _, cell := range row[1:] {
+			out = append(out, d.checkCell(row[0], cell)...)
+		}
+	}
+	return out
+}
+
+// checkCell checks the keys of one cell.
+func (d *document) checkCell(promise, cell string) []string {
+	keys := strings.Fields(cell)
+	if len(keys) == 0 {
+		return []string{promise + ": empty cell"}
+	}
+	var out []string
+	for _, k := range keys {
+		if k != openMark && !slices.ContainsFunc(d.evidence, func(row []string) bool { return row[0] == k }) {
+			out = append(out, fmt.Sprintf("%s: no evidence %q", promise, k))
+		}
+	}
+	return out
+}
+
+// checkEvidence checks that each piece exists, is used, and names a mutation.
+func (d *document) checkEvidence(t *tree) []string {
+	var out []string
+	for _, row := range d.evidence {
+		if len(row) != 3 || row[2] == "" {
+			out = append(out, row[0]+": want key, name and mutation")
+			continue
+		}
+		if !t.has(row[1]) {
+			out = append(out, fmt.Sprintf("%s: %s does not exist", row[0], row[1]))
+		}
+		if !d.uses(row[0]) {
+			out = append(out, row[0]+": named by no cell")
+		}
+	}
+	return out
+}
+
+// uses reports whether a cell names the key.
+func (d *document) uses(key string) bool {
+	for _, row := range d.promises {
+		for _, cell := range row[1:] {
+			if slices.Contains(strings.Fields(cell), key) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// checkRules checks that each mutant stands in the rules with functions that
+// exist, or is said to be carried by none.
+func (d *document) checkRules(t *tree) []string {
+	var out []string
+	named := make(map[string]bool)
+	for _, row := range d.rules {
+		named[row[0]] = true
+		if len(row) != 3 {
+			out = append(out, row[0]+": want search, rule and functions")
+			continue
+		}
+		if !t.searches[row[0]] {
+			out = append(out, fmt.Sprintf("search %s does not exist", row[0]))
+		}
+		for _, f := range strings.Fields(strings.ReplaceAll(row[2], "`", "")) {
+			if strings.Contains(f, "/") && !t.functions[f] {
+				out = append(out, fmt.Sprintf("%s: function %s does not exist", row[0], f))
+			}
+		}
+	}
+	for _, m := range t.mutants {
+		if !named[m] {
+			out = append(out, fmt.Sprintf("mutant %s has no row among the rules", m))
+		}
+	}
+	return append(out, t.dangling...)
+}
--- /dev/null
+++ b/internal/proofcheck/check_test.go
@@ -0,0 +1,72 @@
+package main
+
+import (
+	"strings"
+	"testing"
+)
+
+// sound returns a page and a tree without faults.
+func sound() (*document, *tree) {
+	d := &document{faults: make([]string, faultCount)}
+	for range promiseCount {
+		row := []string{"p"}
+		for range faultCount {
+			row = append(row, "A1")
+		}
+		d.promises = append(d.promises, row)
+	}
+	d.evidence = [][]string{{"A1", "core/x.TestX", "rule removed"}}
+	d.rules = [][]string{{"m-rule", "rule", "core/x.T.Do"}}
+	t := &tree{
+		functions: map[string]bool{"core/x.TestX": true, "core/x.T.Do": true},
+		searches:  map[string]bool{"m-rule": true},
+		mutants:   []string{"m-rule"},
+		script:    strings.Join(steps, "\n"),
+	}
+	return d, t
+}
+
+func TestFaultsAreFound(t *testing.T) {
+	tests := []struct {
+		name  string
+		spoil func(*document, *tree)
+		want  string
+	}{
+		{"unknown key", func(d *document, _ *tree) { d.promises[3][2] = "B9" }, `no evidence "B9"`},
+		{"empty cell", func(d *document, _ *tree) { d.promises[3][2] = "" }, "empty cell"},
+		{"promise left out", func(d *document, _ *tree) { d.promises = d.promises[1:] }, "table of 9 by"},
+		{"missing test", func(_ *document, t *tree) { delete(t.functions, "core/x.TestX") }, "TestX does not exist"},
+		{"no mutation", func(d *document, _ *tree) { d.evidence[0][2] = "" }, "want key, name and mutation"},
+		{"unused evidence", func(d *document, _ *tree) {
+			d.evidence = append(d.evidence, []string{"A2", "core/x.TestX", "m"})
+		}, "A2: named by no cell"},
+		{"missing function", func(_ *document, t *tree) { delete(t.functions, "core/x.T.Do") }, "T.Do does not exist"},
+		{"missing search", func(_ *document, t *tree) { delete(t.searches, "m-rule") }, "search m-rule does not"},
+		{"mutant without rule", func(_ *document, t *tree) { t.mutants = append(t.mutants, "m-new") }, "m-new has no row"},
+		{"dangling property", func(_ *document, t *tree) { t.dangling = []string{"no property q"} }, "no property q"},
+		{"step not run", func(_ *document, t *tree) { t.script = steps[0] }, "test.sh does not run"},
+	}
+	d, tr := sound()
+	if got := d.check(tr); len(got) != 0 {
+		t.Fatalf("sound page: got %q, want no fault", got)
+	}
+	for _, tt := range tests {
+		d, tr := sound()
+		tt.spoil(d, tr)
+		got := strings.Join(d.check(tr), "\n")
+		if !strings.Contains(got, tt.want) {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+func TestParseDocumentCountsOpenCells(t *testing.T) {
+	d := parseDocument("text\n| promise | a | b |\n|---|---|---|\n| once | K1 | open |\n\n" +
+		"| key | name | mutation |\n|---|---|---|\n| K1 | `core/x.TestX` | m |\n")
+	if all, open := d.cells(); all != 2 || open != 1 {
+		t.Errorf("got %d cells and %d open, want 2 and 1", all, open)
+	}
+	if got, want := d.evidence[0][1], "core/x.TestX"; got != want {
+		t.Errorf("got evidence %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/internal/proofcheck/tree.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+)
+
+// tree is what the page may name: functions as package/path.Name or
+// package/path.Type.Name, tests among them, and searches by their section.
+type tree struct {
+	functions map[string]bool
+	searches  map[string]bool
+	mutants   []string // searches of mutants
+	dangling  []string // what the list of searches names and no model has
+	script    string   // test.sh
+}
+
+// loadTree reads the module at root.
+func loadTree(root string) (*tree, error) {
+	t := &tree{functions: make(map[string]bool), searches: make(map[string]bool)}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (d.Name() == "tools" || d.Name() == "bin" || d.Name() == ".git"):
+			return fs.SkipDir
+		case filepath.Ext(path) != ".go":
+			return nil
+		}
+		return t.addFile(root, path)
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "source files")
+	}
+	script, err := os.ReadFile(filepath.Join(root, "test.sh"))
+	if err != nil {
+		return nil, err
+	}
+	t.script = string(script)
+	return t, t.addSearches(filepath.Join(root, "spec"))
+}
+
+// has reports whether a test or search exists.
+func (t *tree) has(name string) bool {
+	if search, ok := strings.CutPrefix(name, "spec/"); ok {
+		return t.searches[search]
+	}
+	return t.functions[name]
+}
+
+// addFile adds the functions of one source file.
+func (t *tree) addFile(root, path string) error {
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.SkipObjectResolution)
+	if err != nil {
+		return err
+	}
+	dir, err := filepath.Rel(root, filepath.Dir(path))
+	if err != nil {
+		return err
+	}
+	for _, d := range file.Decls {
+		if f, ok := d.(*ast.FuncDecl); ok {
+			t.functions[filepath.ToSlash(dir)+"."+qualified(f)] = true
+		}
+	}
+	return nil
+}
+
+// qualified returns a function's name, after its receiver's type if it has one.
+func qualified(f *ast.FuncDecl) string {
+	if f.Recv == nil || len(f.Recv.List) == 0 {
+		return f.Name.Name
+	}
+	typ := f.Recv.List[0].Type
+	if star, ok := typ.(*ast.StarExpr); ok {
+		typ = star.X
+	}
+	if id, ok := typ.(*ast.Ident); ok {
+		return id.Name + "." + f.Name.Name
+	}
+	return f.Name.Name
+}
--- a/test.sh
+++ b/test.sh
@@ -24,3 +24,9 @@
 
 step tests
 go test -race ./...
+
+step model checks
+go run ./internal/speccheck
+
+step proof table
+go run ./internal/proofcheck
