--- /dev/null
+++ b/internal/conform/event.go
@@ -0,0 +1,37 @@
+// Package conform states the invariants of the models in spec/ as functions
+// over traces, so that the Go code can be driven against them.
+package conform
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// Event is one step of a trace.
+type Event interface{ event() }
+
+// Permitted says that an owner granted a permit.
+type Permitted struct {
+	Owner  bbtfleet.HostID
+	At     time.Time
+	Expiry time.Time
+}
+
+// Dispatched says that a request was dispatched under a permit.
+type Dispatched struct {
+	At     time.Time
+	Expiry time.Time
+}
+
+// OrderAccepted says that an endpoint that checks fencing numbers accepted an
+// order of an owner. Ownership counts the acquisitions of the endpoint's
+// ownership from one.
+type OrderAccepted struct {
+	Owner     bbtfleet.HostID
+	Ownership int
+}
+
+func (Permitted) event()     {}
+func (Dispatched) event()    {}
+func (OrderAccepted) event() {}
--- /dev/null
+++ b/internal/conform/invariant_test.go
@@ -0,0 +1,28 @@
+package conform
+
+import (
+	"testing"
+	"time"
+)
+
+func TestInvariantsRefuseBrokenTraces(t *testing.T) {
+	at := func(s int) time.Time { return time.Unix(int64(s), 0) }
+	tests := []struct {
+		name      string
+		invariant func([]Event) error
+		sound     []Event
+		broken    Event
+	}{
+		{"one granter", OneGranter, []Event{Permitted{"a", at(1), at(3)}, Permitted{"b", at(3), at(4)}}, Permitted{"a", at(3), at(5)}},
+		{"none expired", NoneExpired, []Event{Dispatched{at(1), at(2)}}, Dispatched{at(2), at(2)}},
+		{"fence kept", FenceKept, []Event{OrderAccepted{"a", 1}, OrderAccepted{"b", 2}, OrderAccepted{"b", 2}}, OrderAccepted{"a", 1}},
+	}
+	for _, tt := range tests {
+		if err := tt.invariant(tt.sound); err != nil {
+			t.Errorf("%s: got %v for a sound trace, want none", tt.name, err)
+		}
+		if err := tt.invariant(append(tt.sound, tt.broken)); err == nil {
+			t.Errorf("%s: got no error for a broken trace, want one", tt.name)
+		}
+	}
+}
