conform: two known failures of the core, as the models found them

Built with the tag knownred alone and listed in KNOWN-RED.txt, which proofcheck prints.

TestFenceIsKeptWhenAnElectorRestarts: the electors of core/bbtowner accept an order of owner 4 after one of owner 5 (epochs 4 and 2). A repair that keeps the endpoint owned: an elector adds to the epoch it knows the ownerships that were possible since it last heard of the owner.

TestNewOwnerOfAColdEndpointAwaitsAReport: core/bbtgrant grants a new owner's first permit before any load report.

--- a/internal/proofcheck/main.go
+++ b/internal/proofcheck/main.go
@@ -6,6 +6,7 @@
 import (
 	"fmt"
 	"os"
+	"path/filepath"
 
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
@@ -25,6 +26,17 @@
 	}
 }
 
+// knownRed lists the tests that fail for a fault that is not mended yet.
+const knownRed = "KNOWN-RED.txt"
+
+// printKnownRed prints the list of known failures, if there is one.
+func printKnownRed(root string) {
+	text, err := os.ReadFile(filepath.Join(root, knownRed))
+	if err == nil {
+		fmt.Printf("\n%s: %s", knownRed, text)
+	}
+}
+
 // run prints the faults of the page and the number of open cells.
 func run(root string) error {
 	doc, err := loadDocument(root)
@@ -41,6 +53,7 @@
 	}
 	cells, open := doc.cells()
 	fmt.Printf("%d cells, %d open; %d pieces of evidence, %d rules\n", cells, open, len(doc.evidence), len(doc.rules))
+	printKnownRed(root)
 	if len(faults) > 0 {
 		return errors.Newf("%d faults in %s", len(faults), page)
 	}
