peercost: what connections between hosts cost one host

Before, 200 handshakes at once overran the limit of one second and their first messages were lost; the limit is three seconds now.

--- /dev/null
+++ b/internal/peercost/countingconn.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"net"
+	"sync/atomic"
+)
+
+// headerBytes is the size of the IPv4 and UDP headers of a packet.
+const headerBytes = 28
+
+// countingConn counts the bytes that a UDP socket sends and receives, packet
+// headers included. It hides the socket's batched calls, so that each packet
+// passes through it.
+type countingConn struct {
+	net.PacketConn
+	socket *net.UDPConn
+	bytes  atomic.Int64
+}
+
+// ReadFrom counts a received packet.
+func (c *countingConn) ReadFrom(p []byte) (int, net.Addr, error) {
+	n, addr, err := c.PacketConn.ReadFrom(p)
+	if err == nil {
+		c.bytes.Add(int64(n + headerBytes))
+	}
+	return n, addr, err
+}
+
+// WriteTo counts a sent packet.
+func (c *countingConn) WriteTo(p []byte, addr net.Addr) (int, error) {
+	c.bytes.Add(int64(len(p) + headerBytes))
+	return c.PacketConn.WriteTo(p, addr)
+}
+
+// SetReadBuffer sets the size of the socket's receive buffer in bytes.
+func (c *countingConn) SetReadBuffer(n int) error { return c.socket.SetReadBuffer(n) }
+
+// SetWriteBuffer sets the size of the socket's send buffer in bytes.
+func (c *countingConn) SetWriteBuffer(n int) error { return c.socket.SetWriteBuffer(n) }
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -16,7 +16,7 @@
 	DefaultInbox   = 4096
 	DefaultQueue   = 512
 	idleTimeout    = 2 * time.Minute
-	handshakeLimit = time.Second
+	handshakeLimit = 3 * time.Second
 	redialPause    = 100 * time.Millisecond
 	maxExchanges   = 1024
 	lostQueue      = 1024
