--- a/internal/bbtdemo/fleet.go
+++ b/internal/bbtdemo/fleet.go
@@ -213,6 +213,18 @@
 	return seeds
 }
 
+// Hosts returns the number of entry hosts.
+func (f *Fleet) Hosts() int { return len(f.apps) }
+
+// Count returns the sum of a counter over all hosts.
+func (f *Fleet) Count(name string) int64 {
+	var n int64
+	for _, app := range f.apps {
+		n += app.Daemon().Counters().Get(name)
+	}
+	return n
+}
+
 // Ready waits until every host serves or ctx ends.
 func (f *Fleet) Ready(ctx context.Context) error {
 	ticks := time.NewTicker(50 * time.Millisecond)
--- a/internal/bbtdemo/table.go
+++ b/internal/bbtdemo/table.go
@@ -63,6 +63,17 @@
 	return t.rows[tier].good
 }
 
+// Sent returns the number of requests of all tiers.
+func (t *Table) Sent() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, r := range t.rows {
+		n += r.sent
+	}
+	return n
+}
+
 // Print prints the table.
 func (t *Table) Print(w io.Writer) {
 	t.mu.Lock()
