core/bbtledger: expired tickets that never ran make room

Cause: an account that asks for tickets and presents none held its share of the ledger for 12 min, so that 45 tickets a second filled a ledger of 32,768 by arithmetic. A full ledger now removes expired tickets that never ran, so that it takes 273 a second. Ruled out: removing them always, as late presentations get a true not-run while there is room. A counted first attempt whose former ticket was removed gets a new one.

Mutations seen to fail: live tickets or finished ones removed, no room made, a removed entry not skipped, a first attempt taken for presented.

--- a/core/bbtexec/once_test.go
+++ b/core/bbtexec/once_test.go
@@ -285,6 +285,16 @@
 	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: ticket}), bbtverdict.MayHaveRun, bbtverdict.ReasonTicketExpired)
 }
 
+func TestFirstAttemptAfterItsTicketMadeRoom(t *testing.T) {
+	p := newPair(t, bbtledger.WithEntries(2))
+	first := bbtexec.Submit{Key: "booking-1", First: true}
+	p.submit(p.a, first)
+	p.ticket(p.a)
+	p.pass(bbtledger.DefaultLifetime)
+	p.ticket(p.a)
+	p.wantRefusal(p.submit(p.a, first), bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+}
+
 func TestRepeatableCallNeedsNoTicket(t *testing.T) {
 	p := newPair(t)
 	id := p.submit(p.a, bbtexec.Submit{Repeatable: true})
--- a/core/bbtledger/ledger.go
+++ b/core/bbtledger/ledger.go
@@ -20,6 +20,7 @@
 	account map[bbtfleet.AccountID]int
 	next    uint64   // next sequence number to issue
 	scanned uint64   // sequence numbers below were removed or are late
+	swept   uint64   // sequence numbers below have expired and were looked at for room
 	late    []uint64 // tickets whose time is over but which still wait or run
 	answers []uint64 // finished tickets in the order of their answers
 	bytes   int
@@ -37,6 +38,7 @@
 		account:    make(map[bbtfleet.AccountID]int),
 		next:       1,
 		scanned:    1,
+		swept:      1,
 	}
 	for _, opt := range opts {
 		opt(l)
@@ -54,7 +56,10 @@
 // expiry. It reports false when the ledger or the account's share is full.
 func (l *Ledger) Issue(now time.Time, account bbtfleet.AccountID) (uint64, time.Time, bool) {
 	l.Expire(now)
-	if len(l.entries) >= l.maxEntries || l.account[account] >= l.maxAccount {
+	if l.full(account) {
+		l.sweep(now)
+	}
+	if l.full(account) {
 		return 0, time.Time{}, false
 	}
 	seq := l.next
@@ -65,6 +70,28 @@
 	return seq, e.expiry, true
 }
 
+// full reports whether the ledger or the account's share is full.
+func (l *Ledger) full(account bbtfleet.AccountID) bool {
+	return len(l.entries) >= l.maxEntries || l.account[account] >= l.maxAccount
+}
+
+// sweep makes room before retention ends: it removes expired tickets that
+// never ran. Whoever presents one later is told that it may have run.
+func (l *Ledger) sweep(now time.Time) {
+	for ; l.swept < l.next; l.swept++ {
+		e := l.entries[l.swept]
+		if e == nil {
+			continue
+		}
+		if now.Before(e.expiry) {
+			return
+		}
+		if !e.state.Presented() {
+			l.remove(l.swept, e)
+		}
+	}
+}
+
 // State returns the state of an account's ticket. A ticket of another account
 // is Unknown.
 func (l *Ledger) State(seq uint64, account bbtfleet.AccountID) State {
@@ -94,6 +121,9 @@
 	defer l.trimAnswers()
 	for ; l.scanned < l.next; l.scanned++ {
 		e := l.entries[l.scanned]
+		if e == nil {
+			continue
+		}
 		if now.Before(e.expiry.Add(l.retention)) {
 			return
 		}
@@ -109,13 +139,18 @@
 	if !e.settled() {
 		return false
 	}
+	l.remove(seq, e)
+	return true
+}
+
+// remove takes an entry out of the ledger.
+func (l *Ledger) remove(seq uint64, e *entry) {
 	l.dropAnswer(e)
 	delete(l.entries, seq)
 	l.account[e.account]--
 	if l.account[e.account] == 0 {
 		delete(l.account, e.account)
 	}
-	return true
 }
 
 // trimAnswers forgets the oldest finished tickets that hold no answer any more.
--- a/core/bbtledger/model_test.go
+++ b/core/bbtledger/model_test.go
@@ -132,6 +132,35 @@
 	}
 }
 
+func TestExpiredTicketsThatNeverRanMakeRoom(t *testing.T) {
+	now := time.Unix(0, 0)
+	l := bbtledger.NewLedger(bbtledger.WithLifetime(lifetime), bbtledger.WithRetention(retention), bbtledger.WithEntries(2))
+	ran, _, _ := l.Issue(now, account)
+	l.Begin(now, ran, account, 1)
+	d, _ := l.Dispatch(now, ran)
+	l.Finish(ran, d, bbtledger.NewAnswer(200, "", nil))
+	never, expiry, _ := l.Issue(now, account)
+	if _, _, ok := l.Issue(expiry.Add(-time.Second), account); ok {
+		t.Error("got a ticket while a live one holds the room")
+	}
+	if got := l.State(never, account); got != bbtledger.Issued {
+		t.Errorf("got %v before it is needed, want issued", got)
+	}
+	if _, _, ok := l.Issue(expiry, account); !ok {
+		t.Error("got no ticket in the room of an expired one")
+	}
+	if got := l.State(never, account); got != bbtledger.Unknown {
+		t.Errorf("got %v for the removed ticket, want unknown", got)
+	}
+	if _, _, ok := l.Issue(expiry, account); ok || l.State(ran, account) != bbtledger.Finished {
+		t.Error("got the outcome of a request that ran dropped before its time")
+	}
+	l.Expire(expiry.Add(retention))
+	if got := l.Len(); got != 1 {
+		t.Errorf("got %d entries after the retention, want the newest alone", got)
+	}
+}
+
 func TestLedgerAgainstModel(t *testing.T) {
 	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300", "rapid.steps": "80", "rapid.nofailfile": "true"} {
 		if err := flag.Set(name, value); err != nil {
