core/bbtlimit: negative tokens earn nothing; docs held against code

A negative number of tokens was added to unexpired credit. Admit and Resume shared all but one condition and now share the code.

--- a/core/bbtlimit/admit.go
+++ b/core/bbtlimit/admit.go
@@ -17,19 +17,13 @@
 func (l *Limiter) Admit(now time.Time, id bbtfleet.AccountID, tokens int) Decision {
 	a := l.account(now, id)
 	if a == nil {
-		return Decision{reason: bbtverdict.ReasonUnknownAccount}
+		return l.unknown()
 	}
+	tokens = max(0, tokens)
 	a.used = now
 	a.requests.count(now, oneRequest)
 	a.tokens.count(now, float64(tokens))
-	if d := l.decide(now, a, tokens); d.outcome != Refused {
-		return d
-	}
-	a.prune(now)
-	if a.mayAsk(now) {
-		return l.waitOr(now, a, tokens, l.ask(now, a, tokens))
-	}
-	return l.waitOr(now, a, tokens, nil)
+	return l.decide(now, a, tokens, true)
 }
 
 // Resume decides a request again for which Admit said Waiting. It asks for more
@@ -37,16 +31,9 @@
 func (l *Limiter) Resume(now time.Time, id bbtfleet.AccountID, tokens int) Decision {
 	a := l.account(now, id)
 	if a == nil {
-		return Decision{reason: bbtverdict.ReasonUnknownAccount}
-	}
-	if d := l.decide(now, a, tokens); d.outcome != Refused {
-		return d
-	}
-	a.prune(now)
-	if a.mayAsk(now) && !a.dry() {
-		return l.waitOr(now, a, tokens, l.ask(now, a, tokens))
+		return l.unknown()
 	}
-	return l.waitOr(now, a, tokens, nil)
+	return l.decide(now, a, max(0, tokens), false)
 }
 
 // Settle corrects the tokens of an admitted request once it is known how many
@@ -62,15 +49,21 @@
 	}
 }
 
-// decide admits the request if its credit is there.
-func (l *Limiter) decide(now time.Time, a *account, tokens int) Decision {
-	if a.missing(now, tokens) != (need{}) {
-		return Decision{}
+// decide admits the request if its credit is there, and else asks for credit,
+// waits for it, or refuses.
+func (l *Limiter) decide(now time.Time, a *account, tokens int, first bool) Decision {
+	if a.missing(now, tokens) == (need{}) {
+		a.requests.spend(now, oneRequest)
+		a.tokens.spend(now, float64(tokens))
+		l.stats.Admitted++
+		return Decision{outcome: Admitted}
+	}
+	a.prune(now)
+	var sends []Send
+	if a.mayAsk(now) && (first || !a.dry()) {
+		sends = l.ask(now, a, tokens)
 	}
-	a.requests.spend(now, oneRequest)
-	a.tokens.spend(now, float64(tokens))
-	l.stats.Admitted++
-	return Decision{outcome: Admitted}
+	return l.waitOr(now, a, tokens, sends)
 }
 
 // waitOr returns the decision to wait for grants or for the next round of asks,
@@ -89,6 +82,12 @@
 	return d
 }
 
+// unknown refuses a request of an account without a contract.
+func (l *Limiter) unknown() Decision {
+	l.stats.Refused++
+	return Decision{reason: bbtverdict.ReasonUnknownAccount}
+}
+
 // refuse returns the refusal for want of the missing credit.
 func (l *Limiter) refuse(a *account, missing need) Decision {
 	part := l.placement.part
--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -100,6 +100,16 @@
 	}
 }
 
+func TestNegativeTokensEarnNothing(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000))
+	l.Admit(start, "a", 1000)
+	l.Settle(start, "a", 1000, 900)
+	l.Admit(start, "a", -5000)
+	if got := l.Admit(start, "a", 101).Outcome(); got != bbtlimit.Refused {
+		t.Errorf("got %v beyond the burst, want refused", got)
+	}
+}
+
 func TestSettleCorrectsBothWays(t *testing.T) {
 	l := newLimiter(names(1), contract("a", 1, 1000))
 	l.Admit(start, "a", 1000)
--- a/core/bbtlimit/stats.go
+++ b/core/bbtlimit/stats.go
@@ -3,7 +3,7 @@
 // Stats counts what a Limiter did.
 type Stats struct {
 	Admitted   uint64 // requests admitted
-	Refused    uint64 // requests refused for want of credit
+	Refused    uint64 // requests refused
 	Asks       uint64 // asks sent
 	Grants     uint64 // grants received in time
 	LateGrants uint64 // grants dropped as late, repeated or never asked for
--- a/internal/limitrun/load.go
+++ b/internal/limitrun/load.go
@@ -45,6 +45,14 @@
 	return homes[f.rng.IntN(len(homes))]
 }
 
+// nearHome picks one of the first homes alike, as callers do that are given that
+// many addresses.
+func nearHome(f *fleet, id bbtfleet.AccountID) bbtfleet.HostID {
+	const addresses = 3
+	homes := f.homes(f.ids[0], id)
+	return homes[f.rng.IntN(min(addresses, len(homes)))]
+}
+
 // firstHome picks the first home.
 func firstHome(f *fleet, id bbtfleet.AccountID) bbtfleet.HostID { return f.homes(f.ids[0], id)[0] }
 
--- a/internal/limitrun/scenario.go
+++ b/internal/limitrun/scenario.go
@@ -16,6 +16,7 @@
 // scenarios holds all measurements in the order of their rows.
 var scenarios = []scenario{
 	{"even", func(seed uint64) row { return largeAccount("even", seed, anyHome, 0) }},
+	{"three-homes", func(seed uint64) row { return largeAccount("three-homes", seed, nearHome, 0) }},
 	{"skewed", func(seed uint64) row { return largeAccount("skewed", seed, firstHome, 0) }},
 	{"strangers", func(seed uint64) row { return largeAccount("strangers", seed, anyHost, 0) }},
 	{"lossy", func(seed uint64) row { return largeAccount("lossy", seed, mostlyHome, 0.05) }},
