bbtprocess: zones out, bad configurations, a platform that dies, freezes and goes back

Seen to fail: with Serves ignoring zones, a request reaches the zone that is out; with the Keeper taking any other version, a host goes back to revision 1 of the restored platform. A Newer that never orders by revision was ruled out as a mutation for the latter: no host starts.

--- a/internal/bbtprocess/fleet.go
+++ b/internal/bbtprocess/fleet.go
@@ -158,7 +158,12 @@
 // Publish publishes the next revision of the configuration.
 func (f *Fleet) Publish(zones []bbtfleet.Zone, contracts []bbtfleet.Contract) error {
 	f.revision++
-	manifest, parts := bbtconfig.Publish(f.revision, bbtfleet.NewConfiguration(bbtfleet.Version{},
+	return f.PublishRevision(f.revision, zones, contracts)
+}
+
+// PublishRevision publishes the configuration under a revision.
+func (f *Fleet) PublishRevision(r bbtfleet.Revision, zones []bbtfleet.Zone, contracts []bbtfleet.Contract) error {
+	manifest, parts := bbtconfig.Publish(r, bbtfleet.NewConfiguration(bbtfleet.Version{},
 		bbtfleet.WithZones(zones...),
 		bbtfleet.WithEndpoints(f.endpoints...),
 		bbtfleet.WithContracts(contracts...)))
@@ -170,6 +175,17 @@
 	return f.put("/control/values/"+bbtconfig.ManifestKey, manifest)
 }
 
+// RestartPlatform starts an empty platform at the address of the one that was
+// killed.
+func (f *Fleet) RestartPlatform() error {
+	p, err := startStandin(f.log, f.binaries.standin, "platform", "--listen="+f.platform.Addr())
+	if err != nil {
+		return err
+	}
+	f.platform, f.processes["platform"] = p, p
+	return nil
+}
+
 // put sends data to a control page of the platform.
 func (f *Fleet) put(path string, data []byte) error {
 	return Put(f.platform.Addr(), path, data)
--- /dev/null
+++ b/internal/bbtprocess/view_test.go
@@ -0,0 +1,116 @@
+package bbtprocess_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/internal/bbtprocess"
+	"bluebelltray/internal/bbtstandin"
+	"bluebelltray/io/bbtdaemon"
+)
+
+// status returns the status of the n-th host; it is empty if the host does not
+// answer.
+func status(f *bbtprocess.Fleet, n int) bbtdaemon.Status {
+	var s bbtdaemon.Status
+	if err := bbtprocess.Get(f.Caller(hostID(n)), "/status", &s); err != nil {
+		return bbtdaemon.Status{}
+	}
+	return s
+}
+
+// awaitRevision waits until every host has a configuration of the revision in
+// force.
+func awaitRevision(ctx context.Context, t *testing.T, f *bbtprocess.Fleet, revision string) {
+	t.Helper()
+	for n := range hosts {
+		must(t, bbtprocess.Await(ctx, "revision "+revision+" in force", func() bool {
+			return strings.HasPrefix(status(f, n).Configuration, revision+"-")
+		}))
+	}
+}
+
+// started returns how many requests an engine has started.
+func started(t *testing.T, f *bbtprocess.Fleet, engine string) int {
+	t.Helper()
+	var c bbtstandin.EngineCounts
+	must(t, bbtprocess.Get(f.Process(engine).Addr(), "/control/counts", &c))
+	return c.Started
+}
+
+func TestZoneTakenOutGetsNoWork(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	out := []bbtfleet.Zone{bbtfleet.NewZone("edin-a", "scotland", true), zones[1]}
+	must(t, f.Publish(out, contracts))
+	awaitRevision(ctx, t, f, "2")
+	before := started(t, f, "engine-0")
+	for n := range hosts {
+		checkComplete(ctx, t, f, n)
+	}
+	if got, want := started(t, f, "engine-0"), before; got != want {
+		t.Errorf("got %d requests in the zone that is out, want %d", got, want)
+	}
+	if got, want := started(t, f, "engine-1"), hosts; got < want {
+		t.Errorf("got %d requests in the other zone, want at least %d", got, want)
+	}
+}
+
+func TestBadConfigurationIsRefusedWhole(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	bad := append([]bbtfleet.Contract{bbtfleet.NewContract("other", 200)}, contracts...)
+	must(t, f.Publish(zones, bad))
+	for n := range hosts {
+		must(t, bbtprocess.Await(ctx, "the configuration is refused", func() bool {
+			return strings.Contains(status(f, n).Refused, "tier")
+		}))
+		if got, want := status(f, n).Configuration, "1-"; !strings.HasPrefix(got, want) {
+			t.Errorf("host %d: got %s in force, want revision 1", n, got)
+		}
+	}
+	checkComplete(ctx, t, f, 0)
+}
+
+func TestRestoredPlatformTakesNothingBack(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	must(t, f.Publish(zones, contracts))
+	awaitRevision(ctx, t, f, "2")
+	f.Process("platform").Kill()
+	checkComplete(ctx, t, f, 0)
+	must(t, f.RestartPlatform())
+	must(t, f.PublishRevision(1, zones, contracts))
+	must(t, f.PublishHosts())
+	reads := func() uint64 {
+		var n uint64
+		if err := bbtprocess.Get(f.Process("platform").Addr(), "/control/reads", &n); err != nil {
+			return 0
+		}
+		return n
+	}
+	must(t, bbtprocess.Await(ctx, "the restored platform is read", func() bool { return reads() > hosts }))
+	f.Process("host-2").Kill()
+	must(t, f.StartHost("host-2"))
+	must(t, bbtprocess.Await(ctx, "the restarted host serves", func() bool { return status(f, 2).Serving }))
+	for n := range hosts {
+		if got, want := status(f, n).Configuration, "2-"; !strings.HasPrefix(got, want) {
+			t.Errorf("host %d: got %s in force, want revision 2", n, got)
+		}
+	}
+}
+
+func TestFrozenPlatformStopsNobody(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	must(t, f.Process("platform").Freeze(ctx))
+	for n := range hosts {
+		checkComplete(ctx, t, f, n)
+	}
+}
