--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -10,6 +10,7 @@
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtlimit"
+	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtverdict"
 )
 
@@ -99,6 +100,16 @@
 	}
 }
 
+func TestNegativeTokensEarnNothing(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 1000))
+	l.Admit(start, "a", 1000)
+	l.Settle(start, "a", 1000, 900)
+	l.Admit(start, "a", -5000)
+	if got := l.Admit(start, "a", 101).Outcome(); got != bbtlimit.Refused {
+		t.Errorf("got %v beyond the burst, want refused", got)
+	}
+}
+
 func TestSettleCorrectsBothWays(t *testing.T) {
 	l := newLimiter(names(1), contract("a", 1, 1000))
 	l.Admit(start, "a", 1000)
@@ -162,6 +173,25 @@
 	}
 }
 
+func TestCallersAreSentToHomes(t *testing.T) {
+	var contracts []bbtfleet.Contract
+	for i := range 100 {
+		contracts = append(contracts, contract(fmt.Sprintf("a-%d", i), 100, 1000))
+	}
+	ids := names(10)
+	var hosts []bbtfleet.Host
+	for _, id := range ids {
+		hosts = append(hosts, bbtfleet.NewHost(id, "z"))
+	}
+	l := newLimiter(ids, contracts...)
+	m := bbtowner.NewMap(nil, bbtfleet.NewHostList(1, hosts))
+	for _, c := range contracts {
+		if got, want := m.Homes(c.Account())[0], l.Homes(c.Account())[0]; got != want {
+			t.Errorf("%s: got callers sent to %s, want its home %s", c.Account(), got, want)
+		}
+	}
+}
+
 func TestIdleAccountsAreForgotten(t *testing.T) {
 	l := newLimiter(names(1), contract("a", 100, 1000), contract("b", 100, 10_000))
 	l.Admit(start, "a", 500)
@@ -218,6 +248,17 @@
 	}
 }
 
+func TestHomeGrantsWhatIsNeededOrNothing(t *testing.T) {
+	l := newLimiter(names(1), contract("a", 100, 300))
+	for _, tt := range []struct{ needed, least, most uint64 }{{400_000, 0, 0}, {200_000, 200_000, 300_000}, {300_000, 0, 0}} {
+		k := bbtlimit.Ask{ID: 1, Account: "a", Tokens: 500_000, NeededTokens: tt.needed}
+		sends, _ := l.Receive(start, "entry-9", bbtlimit.Message{Asks: []bbtlimit.Ask{k}})
+		if got := sends[0].Message.Grants[0].Tokens; got < tt.least || got > tt.most {
+			t.Errorf("needed %d: got %d granted, want %d to %d", tt.needed, got, tt.least, tt.most)
+		}
+	}
+}
+
 func TestSilentHomeEndsInARefusal(t *testing.T) {
 	hosts := names(2)
 	c := contract("a", 100, 1000)
