core/bbtsuspect: an agent that asks guards, is one, and hands over

Cause: the guard alone left its placement, its changes and the notices to the driver. The agent joins them; the driver moves messages. Each host's agent asks the guard of a call, keeps it waiting while another copy is in flight, tells the guard and its follower of a death, and new guards what it suspects.

Guard.Decide takes whether it is settled for one request; Claim and Unsettle stay. Ruled out: going on without a guard's answer.

--- /dev/null
+++ b/core/bbtsuspect/agent_test.go
@@ -0,0 +1,216 @@
+package bbtsuspect_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtsuspect"
+)
+
+// net is a few agents whose messages take up to half a second.
+type net struct {
+	rng     *rand.Rand
+	now     time.Time
+	agents  map[bbtfleet.HostID]*bbtsuspect.Agent
+	names   []bbtfleet.HostID
+	dead    map[bbtfleet.HostID]bool
+	side    map[bbtfleet.HostID]int
+	later   []later
+	calls   bbtsuspect.CallID
+	quiet   bool // the caller sends nothing more
+	asked   map[bbtfleet.HostID]int
+	whole   map[bbtfleet.HostID]int
+	crashes int
+	refused int
+	poison  bool // requests crash their endpoint
+}
+
+func newNet(seed uint64, poison bool) *net {
+	n := &net{
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		now:    time.Unix(0, 0),
+		agents: make(map[bbtfleet.HostID]*bbtsuspect.Agent),
+		dead:   make(map[bbtfleet.HostID]bool),
+		side:   make(map[bbtfleet.HostID]int),
+		asked:  make(map[bbtfleet.HostID]int),
+		whole:  make(map[bbtfleet.HostID]int),
+		poison: poison,
+	}
+	for i := range 4 {
+		n.names = append(n.names, bbtfleet.HostID(fmt.Sprint("edin-", i)))
+	}
+	for _, h := range n.names {
+		first := func(hosts []bbtfleet.HostID, _ uint64) bbtfleet.HostID { return append(hosts, "")[0] }
+		n.agents[h] = bbtsuspect.NewAgent(h, 1, first)
+		n.step(h, bbtsuspect.HostsChanged{Hosts: n.names})
+	}
+	n.now = n.now.Add(bbtsuspect.UnsettledTime)
+	return n
+}
+
+// after plans something within d.
+func (n *net) after(d time.Duration, do func()) {
+	n.later = append(n.later, later{n.now.Add(time.Duration(n.rng.Int64N(int64(d)))), do})
+}
+
+// step passes an event to a living agent and carries its actions out.
+func (n *net) step(h bbtfleet.HostID, ev bbtsuspect.Event) {
+	if n.dead[h] {
+		return
+	}
+	for _, a := range n.agents[h].Step(n.now, ev) {
+		switch a := a.(type) {
+		case bbtsuspect.Admit:
+			n.dispatch(h, a.Call)
+		case bbtsuspect.Refuse:
+			n.refused++
+		case bbtsuspect.Send:
+			if n.side[a.To] != n.side[h] {
+				continue
+			}
+			n.after(500*time.Millisecond, func() {
+				n.step(a.To, bbtsuspect.Received{From: h, Message: a.Message})
+			})
+		}
+	}
+}
+
+// dispatch runs a call on an endpoint of its own.
+func (n *net) dispatch(h bbtfleet.HostID, id bbtsuspect.CallID) {
+	ep := bbtfleet.EndpointID(fmt.Sprint("llm-", id))
+	n.step(h, bbtsuspect.Begin{Call: id, Endpoint: ep})
+	n.after(time.Minute, func() {
+		if !n.poison {
+			n.whole[h]++
+			n.step(h, bbtsuspect.End{Call: id, Whole: true})
+			return
+		}
+		n.crashes++
+		n.step(h, bbtsuspect.Died{Crash: bbtsuspect.Crash{Endpoint: ep, Incarnation: 1}})
+	})
+}
+
+// run lets time pass while a caller sends through random hosts.
+func (n *net) run(d time.Duration) {
+	for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(250 * time.Millisecond) {
+		due := n.later
+		n.later = nil
+		for _, l := range due {
+			if l.at.After(n.now) {
+				n.later = append(n.later, l)
+			} else {
+				l.do()
+			}
+		}
+		if n.rng.IntN(8) == 0 && !n.quiet {
+			n.calls++
+			h := n.names[n.rng.IntN(len(n.names))]
+			n.asked[h]++
+			n.step(h, bbtsuspect.Ask{Call: n.calls, Fingerprint: poison})
+		}
+		for _, h := range n.names {
+			n.step(h, bbtsuspect.Tick{})
+		}
+	}
+}
+
+// kill ends the guard's process; the others notice at their own time.
+func (n *net) kill(h bbtfleet.HostID) {
+	n.dead[h] = true
+	for _, o := range n.names {
+		n.after(3*time.Second, func() { n.step(o, bbtsuspect.HostUnreachable{Host: h, Unreachable: true}) })
+		n.after(10*time.Second, func() { n.step(o, bbtsuspect.HostsChanged{Hosts: n.names[1:]}) })
+	}
+}
+
+// split cuts the fleet in two halves, which both run on.
+func (n *net) split() {
+	n.side[n.names[2]], n.side[n.names[3]] = 1, 1
+	for _, h := range n.names {
+		for _, o := range n.names {
+			if n.side[h] != n.side[o] {
+				n.step(h, bbtsuspect.HostUnreachable{Host: o, Unreachable: true})
+			}
+		}
+	}
+}
+
+func TestAgentsHoldTheBound(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(n *net)
+	}{
+		{"none", func(*net) {}},
+		{"parted", func(*net) {}},
+		{"guard-killed", func(n *net) { n.kill(n.names[0]) }},
+		{"guard-joins", func(n *net) {
+			for _, h := range n.names {
+				n.step(h, bbtsuspect.HostsChanged{Hosts: []bbtfleet.HostID{"edin-3", "edin-2", "edin-1", "edin-0"}})
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for seed := range uint64(60) {
+				n := newNet(seed, true)
+				if tc.name == "parted" {
+					n.split()
+				}
+				n.run(time.Duration(n.rng.Int64N(int64(2 * time.Minute))))
+				tc.fault(n)
+				n.run(4 * time.Minute)
+				if n.crashes == 0 || n.crashes > bbtsuspect.MaxCrashes || n.refused == 0 {
+					t.Fatalf("seed %d: got %d endpoints lost and %d calls refused, want 1 or 2 and some", seed, n.crashes, n.refused)
+				}
+			}
+		})
+	}
+}
+
+func TestAgentsLetHarmlessRequestsRun(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		fault func(n *net)
+	}{
+		{"guard-killed", func(n *net) { n.kill(n.names[0]) }},
+		{"parted", (*net).split},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := newNet(1, false)
+			n.run(time.Second)
+			tc.fault(n)
+			n.run(4 * time.Minute)
+			n.quiet = true
+			n.run(4 * time.Minute)
+			for _, h := range n.names {
+				if got, want := n.whole[h], n.asked[h]; !n.dead[h] && got != want {
+					t.Errorf("%s: got %d whole answers, want %d", h, got, want)
+				}
+			}
+		})
+	}
+}
+
+func TestCrashOfAnUnsettledGuardsCopyBans(t *testing.T) {
+	var s bbtsuspect.Suspicions
+	g := bbtsuspect.NewGuard(&s)
+	now := time.Unix(0, 0)
+	claim := bbtsuspect.Claim{Fingerprint: poison, Copy: bbtsuspect.Copy{Host: "edin-1", ID: 1}}
+	g.Decide(now, claim, false)
+	g.Release(now, bbtsuspect.Release{Fingerprint: poison, Copy: claim.Copy, Crash: &bbtsuspect.Crash{Endpoint: "llm-1"}})
+	if got := g.Claim(now, claim).Treatment; got != bbtsuspect.Banned {
+		t.Errorf("got %v once settled, want banned", got)
+	}
+}
+
+func TestLateAdmissionIsHandedBack(t *testing.T) {
+	n := newNet(1, true)
+	late := bbtsuspect.Grant{Fingerprint: poison, Copy: bbtsuspect.Copy{Host: "edin-1", Incarnation: 1, ID: 7}, Treatment: bbtsuspect.Free}
+	got := n.agents["edin-1"].Step(n.now, bbtsuspect.Received{From: "edin-0", Message: late})
+	want := bbtsuspect.Release{Fingerprint: poison, Copy: late.Copy}
+	if len(got) != 1 || got[0] != (bbtsuspect.Send{To: "edin-0", Message: want}) {
+		t.Errorf("got %+v, want the claim released", got)
+	}
+}
--- a/core/bbtsuspect/bench_test.go
+++ b/core/bbtsuspect/bench_test.go
@@ -1,10 +1,12 @@
 package bbtsuspect_test
 
 import (
+	"encoding/binary"
 	"fmt"
 	"testing"
 	"time"
 
+	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtsuspect"
 	"github.com/fxamacker/cbor/v2"
 )
@@ -31,6 +33,49 @@
 	}
 }
 
+// rendezvous returns the host with the highest score.
+func rendezvous(hosts []bbtfleet.HostID, key uint64) bbtfleet.HostID {
+	var best bbtfleet.HostID
+	var most bbtsuspect.Fingerprint
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], key)
+	for _, h := range hosts {
+		if s := bbtsuspect.Of("", string(h), b[:]); s >= most {
+			best, most = h, s
+		}
+	}
+	return best
+}
+
+// BenchmarkAgent measures a request whose guard is the host itself, from the
+// question to its end, before the request is proven.
+func BenchmarkAgent(b *testing.B) {
+	for _, n := range []int{6, 40, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var hosts []bbtfleet.HostID
+			for i := range n {
+				hosts = append(hosts, bbtfleet.HostID(fmt.Sprint("host-", i)))
+			}
+			now := time.Unix(0, 0)
+			a := bbtsuspect.NewAgent("host-0", 1, rendezvous)
+			a.Step(now, bbtsuspect.HostsChanged{Hosts: hosts})
+			now = now.Add(bbtsuspect.UnsettledTime)
+			id, f := bbtsuspect.CallID(0), bbtsuspect.Fingerprint(0)
+			for rendezvous(hosts, uint64(f)) != "host-0" {
+				f++
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				id++
+				if len(a.Step(now, bbtsuspect.Ask{Call: id, Fingerprint: f})) != 1 {
+					b.Fatal("not admitted")
+				}
+				a.Step(now, bbtsuspect.End{Call: id})
+			}
+		})
+	}
+}
+
 // BenchmarkWire measures the messages of one request with its guard and one
 // notice.
 func BenchmarkWire(b *testing.B) {
--- a/core/bbtsuspect/fleet_test.go
+++ b/core/bbtsuspect/fleet_test.go
@@ -13,7 +13,7 @@
 // The times of the test's fleet.
 const (
 	spread    = 3 * time.Second // longest time for a notice or a release to arrive
-	unsettled = bbtsuspect.ClaimTime + spread
+	unsettled = bbtsuspect.UnsettledTime
 	runTime   = bbtsuspect.ClaimTime - time.Second
 )
 
@@ -23,6 +23,7 @@
 	tracker    *bbtsuspect.Tracker
 	guard      *bbtsuspect.Guard
 	side       int
+	settled    time.Time // when its guard settles
 }
 
 // later is something that happens at a time.
@@ -83,7 +84,7 @@
 	guard := f.hosts[f.guards[h.side]]
 	f.copies++
 	c := bbtsuspect.Copy{Host: bbtfleet.HostID(fmt.Sprint(i)), ID: f.copies}
-	granted := guard.guard.Claim(f.now, bbtsuspect.Claim{Fingerprint: poison, Copy: c}).Treatment
+	granted := guard.guard.Decide(f.now, bbtsuspect.Claim{Fingerprint: poison, Copy: c}, !f.now.Before(guard.settled)).Treatment
 	if granted == bbtsuspect.Hold || granted == bbtsuspect.Banned {
 		return
 	}
@@ -113,7 +114,7 @@
 func (f *fleet) divide() {
 	f.hosts[2].side, f.hosts[3].side = 1, 1
 	f.guards[1] = 2
-	f.hosts[2].guard.Unsettle(f.now.Add(unsettled))
+	f.hosts[2].settled = f.now.Add(unsettled)
 }
 
 // lost returns the most endpoints lost in runs with successive seeds.
@@ -139,7 +140,7 @@
 	got := lost(t, func(f *fleet) {
 		f.run(time.Duration(f.rng.Int64N(int64(runTime))))
 		f.guards[0] = 1
-		f.hosts[1].guard.Unsettle(f.now.Add(unsettled))
+		f.hosts[1].settled = f.now.Add(unsettled)
 		f.run(bbtsuspect.SuspicionTime / 2)
 	})
 	if got > bbtsuspect.MaxCrashes {
@@ -150,8 +151,8 @@
 func TestBoundInAPartition(t *testing.T) {
 	noticed := lost(t, func(f *fleet) {
 		f.divide()
-		f.hosts[0].guard.Unsettle(f.now.Add(time.Hour))
-		f.hosts[2].guard.Unsettle(f.now.Add(time.Hour))
+		f.hosts[0].settled = f.now.Add(time.Hour)
+		f.hosts[2].settled = f.now.Add(time.Hour)
 		f.run(bbtsuspect.SuspicionTime / 2)
 	})
 	if noticed > bbtsuspect.MaxCrashes {
--- a/core/bbtsuspect/guard.go
+++ b/core/bbtsuspect/guard.go
@@ -6,9 +6,10 @@
 
 // The bounds of a guard.
 const (
-	ClaimTime = 2 * time.Minute // after which a claim without release ends
-	maxClaims = 65536
-	maxProven = 16384
+	ClaimTime     = 2 * time.Minute           // after which a claim without release ends
+	UnsettledTime = ClaimTime + 5*time.Second // for which a new guard is not settled
+	maxClaims     = 65536
+	maxProven     = 16384
 )
 
 // Guard admits copies of a request one at a time for the whole fleet until one
@@ -25,8 +26,9 @@
 
 // claim is the one copy in flight of a request that is not proven.
 type claim struct {
-	copy  Copy
-	until time.Time
+	copy    Copy
+	until   time.Time
+	settled bool
 }
 
 // NewGuard returns a guard that reads and records crashes in s.
@@ -38,23 +40,29 @@
 	}
 }
 
-// Unsettle says that until the given time other guards may have admitted
-// copies of the same requests: after a start, after a change of the host list
-// and while the view is not confirmed. One crash is then enough for a ban.
+// Unsettle says that until the given time Claim must expect that other guards
+// admitted copies of any request.
 func (g *Guard) Unsettle(until time.Time) {
 	if until.After(g.settled) {
 		g.settled = until
 	}
 }
 
-// Claim decides whether a copy of a request may be dispatched now. A repeated
-// claim of the same copy gets the same answer.
+// Claim is Decide for a guard that is settled for all requests or for none.
 func (g *Guard) Claim(now time.Time, c Claim) Grant {
-	return Grant{Fingerprint: c.Fingerprint, Copy: c.Copy, Treatment: g.decide(now, c)}
+	return g.Decide(now, c, !now.Before(g.settled))
+}
+
+// Decide says whether a copy of a request may be dispatched now. A repeated
+// claim of the same copy gets the same answer. The guard is settled if for
+// UnsettledTime no other guard can have admitted copies of the request;
+// otherwise one crash is enough for a ban.
+func (g *Guard) Decide(now time.Time, c Claim, settled bool) Grant {
+	return Grant{Fingerprint: c.Fingerprint, Copy: c.Copy, Treatment: g.decide(now, c, settled)}
 }
 
 // decide returns the treatment and records an admitted copy.
-func (g *Guard) decide(now time.Time, c Claim) Treatment {
+func (g *Guard) decide(now time.Time, c Claim, settled bool) Treatment {
 	crashes := g.suspicions.Crashes(now, c.Fingerprint)
 	if _, ok := g.proven[c.Fingerprint]; ok && crashes == 0 {
 		return Free
@@ -63,7 +71,8 @@
 	if ok && held.copy != c.Copy && now.Before(held.until) {
 		return Hold
 	}
-	if crashes >= g.budget(now) {
+	if crashes >= budgetOf(settled) {
+		g.ban(now, c.Fingerprint, crashes)
 		return Banned
 	}
 	if !ok && len(g.claims) >= maxClaims {
@@ -72,31 +81,45 @@
 			return Hold
 		}
 	}
-	g.claims[c.Fingerprint] = claim{copy: c.Copy, until: now.Add(ClaimTime)}
+	g.claims[c.Fingerprint] = claim{copy: c.Copy, until: now.Add(ClaimTime), settled: settled}
 	if crashes > 0 {
 		return Alone
 	}
 	return Free
 }
 
-// budget returns how many endpoints a request may take down by this guard's
+// ban keeps a request banned once the guard has settled: what a former guard
+// admitted may have crashed unseen.
+func (g *Guard) ban(now time.Time, f Fingerprint, crashes int) {
+	if crashes < MaxCrashes {
+		g.suspicions.Add(now, f, Crash{})
+	}
+}
+
+// budgetOf returns how many endpoints a request may take down by a guard's
 // leave.
-func (g *Guard) budget(now time.Time) int {
-	if now.Before(g.settled) {
-		return MaxCrashes - 1
+func budgetOf(settled bool) int {
+	if settled {
+		return MaxCrashes
 	}
-	return MaxCrashes
+	return MaxCrashes - 1
 }
 
-// Release ends a copy's claim and records what came of it.
+// Release ends a copy's claim and records what came of it. A crash of a copy
+// that was admitted before the guard had settled bans the request, as a copy
+// of a former guard may have crashed unseen.
 func (g *Guard) Release(now time.Time, r Release) {
+	held := g.claims[r.Fingerprint]
 	if r.Crash != nil {
 		g.suspicions.Add(now, r.Fingerprint, *r.Crash)
 		g.unprove(r.Fingerprint)
 	}
-	if g.claims[r.Fingerprint].copy != r.Copy {
+	if held.copy != r.Copy {
 		return
 	}
+	if r.Crash != nil && !held.settled {
+		g.ban(now, r.Fingerprint, g.suspicions.Crashes(now, r.Fingerprint))
+	}
 	delete(g.claims, r.Fingerprint)
 	if r.Whole {
 		g.suspicions.Clear(r.Fingerprint)
--- a/core/bbtsuspect/wire.go
+++ b/core/bbtsuspect/wire.go
@@ -46,3 +46,11 @@
 	Crash       *Crash      `cbor:"3,keyasint,omitempty"`
 	Whole       bool        `cbor:"4,keyasint,omitempty"`
 }
+
+// Message travels between hosts.
+type Message interface{ message() }
+
+func (Notice) message()  {}
+func (Claim) message()   {}
+func (Grant) message()   {}
+func (Release) message() {}
