core/bbtexec: entry hosts issue for homes that drain or are full

A counted first attempt was refused not-run while its home drained. The entry host now issues the ticket, as it does for a home that cannot be asked.

A ticket that comes again with another body is refused may-have-run instead of not-run: a caller whose encoder changed the bytes would have taken its first request, which may have run, for not run. The test asked for not-run and now asks for may-have-run, which excludes more.

Mutations seen to fail: the home's refusal passed on, the former verdict.

--- a/core/bbtexec/once_test.go
+++ b/core/bbtexec/once_test.go
@@ -170,6 +170,16 @@
 	p.wantRuns(1)
 }
 
+func TestEntryHostIssuesForAHomeThatDrains(t *testing.T) {
+	p := newPair(t)
+	p.step(p.a, bbtexec.Drain{})
+	asked := p.submit(p.b, bbtexec.Submit{Key: "booking-1", First: true})
+	p.wantRefusal(asked, bbtverdict.NotRun, bbtverdict.ReasonTicketRequired)
+	if got, err := bbtticket.Parse(p.refusals[asked].Ticket); err != nil || got.Host() != "b" {
+		t.Errorf("got a ticket of %q, want one of the entry host", got.Host())
+	}
+}
+
 func TestForwardedCallerGone(t *testing.T) {
 	p := newPair(t)
 	ticket := p.ticket(p.a)
@@ -265,7 +275,7 @@
 	forged := ticket[:len(ticket)-2] + "AA"
 	p.wantRefusal(p.submit(p.a, bbtexec.Submit{Ticket: forged}), bbtverdict.MayHaveRun, bbtverdict.ReasonTicketInvalid)
 	other := p.submit(p.a, bbtexec.Submit{Ticket: ticket, Fingerprint: 9})
-	p.wantRefusal(other, bbtverdict.NotRun, bbtverdict.ReasonTicketMismatch)
+	p.wantRefusal(other, bbtverdict.MayHaveRun, bbtverdict.ReasonTicketMismatch)
 }
 
 func TestBounds(t *testing.T) {
--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -78,14 +78,19 @@
 }
 
 // issueReplied goes on with a call by its home's reply. A ticket that took too
-// long is not handed out: its home may no longer be the key's home.
+// long is not handed out: its home may no longer be the key's home. A first
+// attempt that the home has no ticket for, as it drains or is full, gets one
+// from this host.
 func (e *Executor) issueReplied(now time.Time, from bbtfleet.HostID, m IssueReply) {
 	c := e.take(from, m.Request)
 	if c == nil {
 		return
 	}
-	if now.Sub(c.asked) >= IssueTimeout {
+	late := now.Sub(c.asked) >= IssueTimeout
+	if late {
 		e.counts.staleReplies++
+	}
+	if late || c.first && m.Ticket == "" {
 		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		return
 	}
--- a/core/bbtexec/submit.go
+++ b/core/bbtexec/submit.go
@@ -69,7 +69,8 @@
 	c.key = t.Key()
 	state, match := e.ledger.Begin(now, t.Sequence(), c.account, c.fingerprint)
 	if !match {
-		e.refuse(c, notRun(bbtverdict.ReasonTicketMismatch))
+		// The caller may mean the request that its ticket was presented for.
+		e.refuse(c, mayHaveRun(bbtverdict.ReasonTicketMismatch))
 		return
 	}
 	c.seq = t.Sequence()
