--- a/internal/speccheck/runner.go
+++ b/internal/speccheck/runner.go
@@ -118,7 +118,7 @@
 
 // compilerArgs returns the C compiler's arguments.
 func (s search) compilerArgs() []string {
-	args := []string{"-O2", "-w", "-DCOLLAPSE", "-DMEMLIM=" + strconv.Itoa(s.memory)}
+	args := []string{"-O1", "-w", "-DCOLLAPSE", "-DMEMLIM=" + strconv.Itoa(s.memory)}
 	if s.kind == safety {
 		args = append(args, "-DSAFETY", "-DNOCLAIM")
 	} else {
