core: no home and no guard among no hosts

A rank function that expects a host was called with none when each host of the list leaves, and for the follower of an only guard; found by the new example of the agent. Both packages ask it for at least one host now.

--- a/core/bbthome/home.go
+++ b/core/bbthome/home.go
@@ -113,7 +113,7 @@
 // HomeOf returns the key's home in the newest view, or an empty name.
 func (h *Home) HomeOf(k Key) bbtfleet.HostID {
 	if n := len(h.epochs); n > 0 {
-		return h.rank(h.epochs[n-1].view.hosts, uint64(k.digest))
+		return h.rank.of(h.epochs[n-1].view.hosts, uint64(k.digest))
 	}
 	return ""
 }
@@ -124,7 +124,7 @@
 	var from time.Time
 	home := false
 	for i := len(h.epochs) - 1; i >= 0; i-- {
-		if h.rank(h.epochs[i].view.hosts, uint64(k.digest)) != h.self {
+		if h.rank.of(h.epochs[i].view.hosts, uint64(k.digest)) != h.self {
 			break
 		}
 		from = h.epochs[i].from
--- a/core/bbthome/view.go
+++ b/core/bbthome/view.go
@@ -27,6 +27,14 @@
 // Hosts returns the live hosts, which must not be changed.
 func (v View) Hosts() []bbtfleet.HostID { return v.hosts }
 
-// Rank returns the home of a key among hosts, or an empty name if there are
-// none. It must give the same result on every host.
+// Rank returns the home of a key among hosts, of which there is at least one.
+// It must give the same result on every host.
 type Rank func(hosts []bbtfleet.HostID, key uint64) bbtfleet.HostID
+
+// of returns the first of hosts, or an empty name if there are none.
+func (r Rank) of(hosts []bbtfleet.HostID, key uint64) bbtfleet.HostID {
+	if len(hosts) == 0 {
+		return ""
+	}
+	return r(hosts, key)
+}
--- a/core/bbthome/worst_test.go
+++ b/core/bbthome/worst_test.go
@@ -49,3 +49,12 @@
 		t.Errorf("next home: got %v once the window is over, want allowed", got)
 	}
 }
+
+func TestNoHomeAmongNoHosts(t *testing.T) {
+	f := newFleet(1)
+	leaving := bbtfleet.NewHost(host(0), "edin-a", bbtfleet.WithHostState(bbtfleet.HostLeaving))
+	f.homes[0].Confirm(f.now, f.now, bbthome.NewView(bbtfleet.NewHostList(1, []bbtfleet.Host{leaving})))
+	if got := f.homes[0].HomeOf(key); got != "" {
+		t.Errorf("got home %q while each host leaves, want none", got)
+	}
+}
--- a/core/bbtsuspect/agent_test.go
+++ b/core/bbtsuspect/agent_test.go
@@ -43,7 +43,7 @@
 		n.names = append(n.names, bbtfleet.HostID(fmt.Sprint("edin-", i)))
 	}
 	for _, h := range n.names {
-		first := func(hosts []bbtfleet.HostID, _ uint64) bbtfleet.HostID { return append(hosts, "")[0] }
+		first := func(hosts []bbtfleet.HostID, _ uint64) bbtfleet.HostID { return hosts[0] }
 		n.agents[h] = bbtsuspect.NewAgent(h, 1, first)
 		n.step(h, bbtsuspect.HostsChanged{Hosts: n.names})
 	}
--- a/core/bbtsuspect/example_test.go
+++ b/core/bbtsuspect/example_test.go
@@ -24,3 +24,20 @@
 	// alone
 	// banned
 }
+
+func ExampleAgent() {
+	only := func(hosts []bbtfleet.HostID, _ uint64) bbtfleet.HostID { return hosts[0] }
+	a := bbtsuspect.NewAgent("edin-1", 1, only)
+	now := time.Unix(0, 0)
+	a.Step(now, bbtsuspect.HostsChanged{Hosts: []bbtfleet.HostID{"edin-1"}})
+
+	now = now.Add(bbtsuspect.UnsettledTime)
+	f := bbtsuspect.Of("kitchen", "/summary", []byte("crashes"))
+	fmt.Printf("%+v\n", a.Step(now, bbtsuspect.Ask{Call: 1, Fingerprint: f})[0])
+	a.Step(now, bbtsuspect.Begin{Call: 1, Endpoint: "llm-1"})
+	a.Step(now, bbtsuspect.Died{Crash: bbtsuspect.Crash{Endpoint: "llm-1", Incarnation: 1}})
+	fmt.Printf("%+v\n", a.Step(now, bbtsuspect.Ask{Call: 2, Fingerprint: f})[0])
+	// Output:
+	// {Call:1 Treatment:free}
+	// {Call:2 Treatment:alone}
+}
--- a/core/bbtsuspect/placement.go
+++ b/core/bbtsuspect/placement.go
@@ -7,10 +7,18 @@
 	"bluebelltray/core/bbtfleet"
 )
 
-// Rank returns the guard of a key among hosts, or an empty name if there are
-// none. It must give the same result on every host.
+// Rank returns the guard of a key among hosts, of which there is at least one.
+// It must give the same result on every host.
 type Rank func(hosts []bbtfleet.HostID, key uint64) bbtfleet.HostID
 
+// of returns the first of hosts, or an empty name if there are none.
+func (r Rank) of(hosts []bbtfleet.HostID, key uint64) bbtfleet.HostID {
+	if len(hosts) == 0 {
+		return ""
+	}
+	return r(hosts, key)
+}
+
 // maxPlacements bounds the host sets remembered; beyond it a guard settles
 // from the oldest remembered.
 const maxPlacements = 64
@@ -48,13 +56,13 @@
 }
 
 // guard returns the request's guard, or an empty name.
-func (p *placements) guard(f Fingerprint) bbtfleet.HostID { return p.rank(p.newest(), uint64(f)) }
+func (p *placements) guard(f Fingerprint) bbtfleet.HostID { return p.rank.of(p.newest(), uint64(f)) }
 
 // follower returns the host that would follow the request's guard.
 func (p *placements) follower(f Fingerprint) bbtfleet.HostID {
 	guard := p.guard(f)
 	rest := slices.DeleteFunc(slices.Clone(p.newest()), func(h bbtfleet.HostID) bool { return h == guard })
-	return p.rank(rest, uint64(f))
+	return p.rank.of(rest, uint64(f))
 }
 
 // age returns how long self has been the request's guard without a break, as
@@ -62,7 +70,7 @@
 func (p *placements) age(now time.Time, self bbtfleet.HostID, f Fingerprint) (time.Duration, bool) {
 	age, is := time.Duration(0), false
 	for _, x := range slices.Backward(p.past) {
-		if p.rank(x.hosts, uint64(f)) != self {
+		if p.rank.of(x.hosts, uint64(f)) != self {
 			break
 		}
 		age, is = now.Sub(x.from), true
@@ -73,7 +81,7 @@
 // settled reports whether self alone has been the request's guard for
 // UnsettledTime, also by the host list's account.
 func (p *placements) settled(now time.Time, self bbtfleet.HostID, f Fingerprint) bool {
-	if p.rank(p.listed, uint64(f)) != self {
+	if p.rank.of(p.listed, uint64(f)) != self {
 		return false
 	}
 	age, _ := p.age(now, self, f)
