bbtdaemon, bbtmember: owners fill the slots that their rank allows

Cause: ownership by rank and belief gave two full owners under a partition. The other ranks of a host's endpoints are probed each 1.5 s, and the owner role gets an endpoint with the slots of Map.Right, recomputed each tick. A leaving host or one whose view is not fresh has none. The parser reads a manifest from its own bytes: remembering the one read last refused a good configuration when another came in between. Changed parts alone are read again.

--- a/cmd/bluebelltray/status.go
+++ b/cmd/bluebelltray/status.go
@@ -55,8 +55,8 @@
 	}
 	fmt.Fprintf(tw, "host list\t%d\n", s.HostList)
 	fmt.Fprintf(tw, "requests\t%d\n", s.Requests)
-	for _, id := range s.Owned {
-		fmt.Fprintf(tw, "owns\t%s\n", id)
+	for _, o := range s.Owned {
+		fmt.Fprintf(tw, "owns\t%s\t%d of %d slots\n", o.Endpoint, o.Right, o.Slots)
 	}
 	for _, p := range s.Peers {
 		fmt.Fprintf(tw, "peer\t%s\t%s\t%s\n", p.Host, p.Zone, p.State)
--- a/core/bbtfleet/endpoint.go
+++ b/core/bbtfleet/endpoint.go
@@ -79,3 +79,9 @@
 // Fencing reports whether the endpoint refuses orders with an old fencing
 // number.
 func (e Endpoint) Fencing() bool { return e.fencing }
+
+// Limited returns the endpoint with at most n slots.
+func (e Endpoint) Limited(n int) Endpoint {
+	e.slots = min(e.slots, n)
+	return e
+}
--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -12,11 +12,12 @@
 
 // Periods of the Member.
 const (
-	TickInterval   = 200 * time.Millisecond // longest time between calls of Tick
-	ProbeInterval  = time.Second            // between probes of one neighbour after another
-	AckTimeout     = 500 * time.Millisecond // from a Ping to asking others to probe, from there to suspicion
-	SuspectTimeout = 2 * time.Second        // from suspicion to Dead
-	PauseGap       = time.Second            // gap between ticks that is taken for a pause
+	TickInterval    = 200 * time.Millisecond  // longest time between calls of Tick
+	ProbeInterval   = time.Second             // between probes of one neighbour after another
+	PartnerInterval = 1500 * time.Millisecond // between probes of one partner
+	AckTimeout      = 500 * time.Millisecond  // from a Ping to asking others to probe, from there to suspicion
+	SuspectTimeout  = 2 * time.Second         // from suspicion to Dead
+	PauseGap        = time.Second             // gap between ticks that is taken for a pause
 )
 
 // formerFor is how long a host that has left the host list is remembered.
@@ -41,6 +42,7 @@
 	peers      map[bbtfleet.HostID]*peer
 	former     map[bbtfleet.HostID]*peer // that have left the host list
 	neighbours []bbtfleet.HostID
+	partners   []bbtfleet.HostID
 
 	probes probes
 	queue  queue
@@ -49,6 +51,9 @@
 	rounds int       // probes of neighbours so far
 	next   int       // place in neighbours of the next probe
 
+	partner     int // place in partners of the next probe
+	nextPartner time.Time
+
 	reminded int // place on the ring of the host that a message spoke of last
 
 	lastTick  time.Time
@@ -83,6 +88,20 @@
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
 
+// Contact returns what is known from the exchange with the host.
+func (m *Member) Contact(id bbtfleet.HostID) Contact {
+	if p, ok := m.peers[id]; ok {
+		return p.contact
+	}
+	return Contact{}
+}
+
+// SetPartners gives the hosts whose answers the host depends on, each of which
+// is probed every PartnerInterval.
+func (m *Member) SetPartners(hosts []bbtfleet.HostID) {
+	m.partners = slices.DeleteFunc(slices.Clone(hosts), func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
+}
+
 // SetHosts gives the host list in force. What is known of a host that leaves
 // the list is kept for a while, so that old news of its former process do not
 // count against a new one.
@@ -102,6 +121,7 @@
 			m.former[id] = p
 		}
 	}
+	m.SetPartners(m.partners)
 	maps.DeleteFunc(m.former, func(_ bbtfleet.HostID, p *peer) bool { return now.Sub(p.unlisted) > formerFor })
 	return m.chooseNeighbours()
 }
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -40,6 +40,10 @@
 		return append(actions, seen)
 	}
 	seen.Asked = pr.sent
+	if p := m.peers[from]; p != nil && pr.sent.After(p.contact.acked) {
+		p.contact.acked = pr.sent
+		p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
+	}
 	if pr.asker != "" {
 		actions = append(actions, Send{To: pr.asker, Message: Relayed{Seq: pr.askSeq}})
 	}
@@ -68,6 +72,8 @@
 	if p == nil {
 		return nil
 	}
+	p.contact.heard = now
+	p.contact.incarnation = bbtfleet.Incarnation(incarnation)
 	return m.apply(now, Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive})
 }
 
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -67,6 +67,9 @@
 	hosts      bbtfleet.HostList
 	places     *bbtowner.Map // over all hosts of the list
 	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	ranked     []ranked
+	placed     time.Time // since when the host list has been in force
+	placedList bbtfleet.Revision
 	leaving    bool
 	jobs       map[bbtgrant.RequestID]*job
 	lastID     bbtgrant.RequestID
@@ -190,6 +193,7 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	d.own(now, false)
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
--- a/io/bbtdaemon/drain.go
+++ b/io/bbtdaemon/drain.go
@@ -49,7 +49,7 @@
 	d.log.Info("draining")
 	d.step(now, bbtexec.Drain{})
 	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
-	d.rank(now)
+	d.place(now)
 }
 
 // counted asks how many requests the daemon holds.
--- a/io/bbtdaemon/parser.go
+++ b/io/bbtdaemon/parser.go
@@ -4,13 +4,11 @@
 	"bluebelltray/core/bbtconfig"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtview"
-	"github.com/cockroachdb/errors"
 )
 
-// parser reads published configurations for the Keeper. It remembers the
-// manifest read last, whose parts are being fetched.
+// parser reads published configurations for the Keeper, each part once.
 type parser struct {
-	manifest bbtconfig.Manifest
+	parts bbtconfig.Parser
 }
 
 // parseManifest reads a manifest.
@@ -19,7 +17,6 @@
 	if err != nil {
 		return bbtview.Manifest{}, err
 	}
-	p.manifest = m
 	parts := make([]bbtview.Part, 0, len(m.Parts()))
 	for _, ref := range m.Parts() {
 		parts = append(parts, bbtview.NewPart(ref.Key(), ref.Digest(), ref.Size()))
@@ -27,14 +24,15 @@
 	return bbtview.NewManifest(m.Revision(), parts...), nil
 }
 
-// parse reads the parts of the manifest read last.
+// parse reads the parts of a manifest, whose contents stand in its order.
 func (p *parser) parse(m bbtview.Manifest, contents [][]byte) (*bbtfleet.Configuration, error) {
-	if m.Version() != p.manifest.Version() {
-		return nil, errors.Newf("manifest %v is not the one read last, %v", m.Version(), p.manifest.Version())
+	manifest, err := bbtconfig.ParseManifest(m.Data())
+	if err != nil {
+		return nil, err
 	}
 	parts := make([]bbtconfig.Part, 0, len(contents))
 	for i, ref := range m.Parts() {
 		parts = append(parts, bbtconfig.NewPart(ref.Key(), contents[i]))
 	}
-	return bbtconfig.Parse(p.manifest, parts)
+	return p.parts.Parse(manifest, parts)
 }
--- a/io/bbtdaemon/status.go
+++ b/io/bbtdaemon/status.go
@@ -10,16 +10,23 @@
 
 // Status is what a host shows its operators.
 type Status struct {
-	Host          bbtfleet.HostID       `json:"host"`
-	Configuration string                `json:"configuration"`
-	HostList      bbtfleet.Revision     `json:"host-list"`
-	Serving       bool                  `json:"serving"`
-	Fresh         bool                  `json:"view-fresh"`
-	Leaving       bool                  `json:"leaving"`
-	Refused       string                `json:"refused-configuration,omitempty"`
-	Requests      int                   `json:"requests"`
-	Owned         []bbtfleet.EndpointID `json:"endpoints-owned"`
-	Peers         []PeerStatus          `json:"peers"`
+	Host          bbtfleet.HostID   `json:"host"`
+	Configuration string            `json:"configuration"`
+	HostList      bbtfleet.Revision `json:"host-list"`
+	Serving       bool              `json:"serving"`
+	Fresh         bool              `json:"view-fresh"`
+	Leaving       bool              `json:"leaving"`
+	Refused       string            `json:"refused-configuration,omitempty"`
+	Requests      int               `json:"requests"`
+	Owned         []OwnedStatus     `json:"endpoints-owned"`
+	Peers         []PeerStatus      `json:"peers"`
+}
+
+// OwnedStatus is an endpoint and how many of its slots the host may fill.
+type OwnedStatus struct {
+	Endpoint bbtfleet.EndpointID `json:"endpoint"`
+	Right    int                 `json:"right"`
+	Slots    int                 `json:"slots"`
 }
 
 // PeerStatus is what a host believes of another one.
@@ -68,20 +75,19 @@
 			s.Peers = append(s.Peers, PeerStatus{h.ID(), h.Zone(), d.member.State(h.ID()).String()})
 		}
 	}
-	if d.config != nil {
-		s.Owned = d.owned()
-	}
+	s.Owned = d.owned()
 	return s
 }
 
-// owned returns the names of the endpoints that this host owns.
-func (d *Daemon) owned() []bbtfleet.EndpointID {
-	_, endpoints := d.targets()
-	ids := make([]bbtfleet.EndpointID, 0, len(endpoints))
-	for _, ep := range endpoints {
-		ids = append(ids, ep.ID())
+// owned returns the endpoints that this host may fill slots of.
+func (d *Daemon) owned() []OwnedStatus {
+	var owned []OwnedStatus
+	for _, r := range d.ranked {
+		if r.right > 0 {
+			owned = append(owned, OwnedStatus{r.endpoint.ID(), r.right, r.endpoint.Slots()})
+		}
 	}
-	return ids
+	return owned
 }
 
 // StatusPage answers with the status as JSON.
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -106,50 +106,36 @@
 // rank computes the placement anew.
 func (d *Daemon) rank(now time.Time) {
 	d.places = bbtowner.NewMap(d.config, d.hosts)
+	if d.config == nil {
+		return
+	}
+	d.rankEndpoints(now)
 	d.place(now)
 }
 
-// place gives the roles the endpoints in service and those that this host owns.
+// place gives the roles the endpoints in service and those that this host may
+// fill.
 func (d *Daemon) place(now time.Time) {
 	if d.config == nil {
 		return
 	}
 	d.callers = d.reachable()
 	d.limitHosts()
-	targets, owned := d.targets()
-	d.poll(owned)
-	d.doEntry(now, d.entry.View(now, targets))
-	d.doOwner(now, d.owner.Own(now, owned))
-	d.counters.Set("endpoints-owned", int64(len(owned)))
+	d.own(now, true)
+	d.doEntry(now, d.entry.View(now, d.targets()))
 }
 
-// targets returns the endpoints in service with their owners, and those that
-// this host owns.
-func (d *Daemon) targets() ([]bbtroute.Target, []bbtfleet.Endpoint) {
+// targets returns the endpoints in service with the hosts that most likely own
+// them.
+func (d *Daemon) targets() []bbtroute.Target {
 	var targets []bbtroute.Target
-	var owned []bbtfleet.Endpoint
 	for _, ep := range d.config.Endpoints() {
 		if !d.config.Serves(ep.ID()) {
 			continue
 		}
-		owner, ok := d.ownerOf(ep.ID())
-		if !ok {
-			continue
-		}
-		targets = append(targets, bbtroute.Target{Endpoint: ep, Owner: owner})
-		if owner == d.id {
-			owned = append(owned, ep)
-		}
-	}
-	return targets, owned
-}
-
-// ownerOf returns the first host in the endpoint's ranks that is up.
-func (d *Daemon) ownerOf(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
-	for _, host := range d.places.Ranks(id) {
-		if d.up(host) {
-			return host, true
+		if owner, ok := d.places.Likely(ep.ID(), d.up); ok {
+			targets = append(targets, bbtroute.Target{Endpoint: ep, Owner: owner})
 		}
 	}
-	return "", false
+	return targets
 }
