bbtdaemon, bbthttp: the guards' agent in place of claims of the daemon's own; counted attempts

Cause: going on without a guard's answer after 250 ms gave up the bound of two endpoints lost to one request. A caller that sends no attempt number is uncounted and no longer taken for one that sends again.

--- a/cmd/bluebelltray/send.go
+++ b/cmd/bluebelltray/send.go
@@ -22,7 +22,7 @@
 	MaxTokens int           `default:"64" help:"Most tokens of the completion."`
 	Path      string        `xor:"kind" help:"Path of a plain service's call, as /services/POOL/..."`
 	Key       string        `help:"Idempotency key of a call that may not be repeated."`
-	Resend    bool          `help:"State that the call may have been sent before."`
+	Attempt   int           `default:"1" help:"Number of this attempt, from one; zero if attempts are not counted."`
 	Timeout   time.Duration `default:"60s" help:"How long to wait for the whole answer."`
 	Body      string        `arg:"" help:"Prompt, or body of the plain service's call."`
 }
@@ -54,7 +54,7 @@
 
 // call returns the call that the flags describe.
 func (c *sendCmd) call() (bbtcaller.Call, error) {
-	call := bbtcaller.Call{Method: http.MethodPost, Key: c.Key, First: !c.Resend}
+	call := bbtcaller.Call{Method: http.MethodPost, Key: c.Key, Attempt: c.Attempt}
 	switch {
 	case c.Path != "":
 		call.Path, call.ContentType, call.Body = c.Path, "text/plain", []byte(c.Body)
--- a/internal/bbtprocess/once_test.go
+++ b/internal/bbtprocess/once_test.go
@@ -15,7 +15,7 @@
 func invoice(body string) bbtcaller.Call {
 	return bbtcaller.Call{
 		Method: http.MethodPost, Path: "/services/billing/invoice", ContentType: "text/plain",
-		Body: []byte(body), First: true,
+		Body: []byte(body), Attempt: 1,
 	}
 }
 
@@ -55,7 +55,7 @@
 		if want := "done: bill 1"; got != want {
 			t.Errorf("host %d: got %q, want %q", n, got, want)
 		}
-		call.First = false
+		call.Attempt = 2
 	}
 	if got, want := runs(t, f, "bill 1"), 1; got != want {
 		t.Errorf("got %d runs, want %d", got, want)
@@ -71,7 +71,7 @@
 		t.Fatal(err)
 	}
 	f.Process("host-0").Kill()
-	call.First = false
+	call.Attempt = 2
 	_, err := send(ctx, f.Caller("host-1"), call)
 	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
 		t.Errorf("got verdict %v (%v), want %v", got, err, want)
@@ -99,7 +99,7 @@
 	}
 	must(t, f.Process("host-0").Signal(syscall.SIGCONT))
 	must(t, bbtprocess.Await(ctx, "the host serves again", func() bool { return serves(f, 0) }))
-	call.First = false
+	call.Attempt = 2
 	for n := range hosts {
 		_, _ = send(ctx, f.Caller(hostID(n)), call) // the count below decides
 	}
@@ -122,7 +122,7 @@
 	if _, err := send(ctx, f.Caller("host-1"), call); err != nil {
 		t.Fatal(err)
 	}
-	call.Ticket, call.First = "", false
+	call.Ticket, call.Attempt = "", 2
 	for n := range hosts {
 		got, err := send(ctx, f.Caller(hostID(n)), call)
 		if want := "done: bill 4"; err == nil && got != want {
--- a/io/bbtcaller/client.go
+++ b/io/bbtcaller/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -49,7 +50,7 @@
 	Body        []byte
 	Ticket      string
 	Key         string
-	First       bool
+	Attempt     int // counted from one; zero if the caller does not count
 }
 
 // Send sends the call to one of the account's addresses and returns its
@@ -94,8 +95,8 @@
 	if call.Key != "" {
 		req.Header.Set(bbthttp.HeaderKey, call.Key)
 	}
-	if call.First {
-		req.Header.Set(bbthttp.HeaderAttempt, "1")
+	if call.Attempt > 0 {
+		req.Header.Set(bbthttp.HeaderAttempt, strconv.Itoa(call.Attempt))
 	}
 	req.GetBody = nil // the library must not repeat the request by itself
 	return req, nil
--- a/io/bbtdaemon/action.go
+++ b/io/bbtdaemon/action.go
@@ -81,14 +81,8 @@
 		d.doEntry(now, d.entry.Shedded(now, from, m))
 	case bbtlimit.Message:
 		d.receiveLimits(now, from, m)
-	case bbtsuspect.Claim:
-		d.tell(from, d.guard.Claim(now, m))
-	case bbtsuspect.Grant:
-		d.claimGranted(now, m)
-	case bbtsuspect.Release:
-		d.guard.Release(now, m)
-	case bbtsuspect.Notice:
-		d.suspicions.Merge(now, m)
+	case bbtsuspect.Message:
+		d.stepAgent(now, bbtsuspect.Received{From: from, Message: m})
 	case Forward:
 		d.forwarded(now, from, m)
 	case bbtexec.Message:
@@ -96,6 +90,7 @@
 	case bbtview.Digest:
 		d.doView(now, d.keeper.PeerDigest(now, time.Time{}, from, m))
 	case bbtmember.Message:
+		d.seen(now, from, m)
 		d.doMember(now, d.member.Receive(now, from, m, d.keeper.Digest(now)))
 	default:
 		d.counters.Add("peer-messages-unexpected", 1)
@@ -113,7 +108,7 @@
 		return
 	}
 	j.target = bbtsuspect.Crash{Endpoint: ep.ID(), Incarnation: a.Permit.Incarnation}
-	d.tracker.Begin(ep.ID(), j.print)
+	d.stepAgent(now, bbtsuspect.Begin{Call: j.claim, Endpoint: ep.ID()})
 	x := dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
 	if j.call != nil {
 		d.attempt(now, x)
@@ -129,7 +124,6 @@
 func (d *Daemon) attempt(now time.Time, x dispatch) {
 	number, ok := d.exec.Dispatch(now, x.job.call.id)
 	if !ok {
-		d.ended(now, x.job, bbtgrant.Cancelled, false)
 		d.doEntry(now, d.entry.Finished(now, x.job.id, bbtroute.Outcome{Kind: bbtgrant.Cancelled}))
 		return
 	}
@@ -147,7 +141,7 @@
 		return
 	}
 	delete(d.jobs, a.Request)
-	d.release(j, nil, false)
+	d.release(now, j, false)
 	d.settle(now, j, 0)
 	err := a.Err
 	if j.call != nil {
--- a/io/bbtdaemon/attempt.go
+++ b/io/bbtdaemon/attempt.go
@@ -74,10 +74,12 @@
 		d.counters.Add("dispatch-failures", 1)
 		d.step(now, bbtexec.Lost{Call: id, Dispatch: number, Reason: err.Reason()})
 	}
-	d.ended(now, j, outcome.Kind, ev.err != nil && brokenOff(outcome.Kind, bbtverdict.As(ev.err, bbtverdict.ReasonEndpointLost)))
+	if ev.err != nil && brokenOff(outcome.Kind, bbtverdict.As(ev.err, bbtverdict.ReasonEndpointLost)) {
+		d.crashed(now, j)
+	}
 	d.doEntry(now, d.entry.Finished(now, j.id, outcome))
 	if outcome.Kind != bbtgrant.Refused {
-		d.release(j, nil, outcome.Kind == bbtgrant.Finished)
+		d.release(now, j, outcome.Kind == bbtgrant.Finished)
 		delete(d.jobs, j.id)
 		j.cancel()
 	}
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -35,7 +35,7 @@
 	tickPeriod      = 50 * time.Millisecond
 	execPeriod      = time.Second
 	secretBytes     = 32
-	unsettledMargin = 3 * time.Second
+	agentPeriod     = 200 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
 	loadTimeout     = time.Second
 	defaultLifetime = 30 * time.Second
@@ -44,20 +44,19 @@
 // Daemon is one entry host. All its state belongs to the goroutine of run;
 // other goroutines pass it events.
 type Daemon struct {
-	id          bbtfleet.HostID
-	incarnation bbtfleet.Incarnation
-	start       time.Time
-	log         *zap.Logger
-	counters    *bbtmetric.Counters
-	platform    bluebelltray.Platform
-	peers       *bbtpeer.Node
-	backend     bluebelltray.Backend
-	loads       *bbthttp.LoadReader
-	lifetime    time.Duration // of an address answer
-	events      chan event
-	ctx         context.Context
-	cancel      context.CancelFunc
-	done        sync.WaitGroup
+	id       bbtfleet.HostID
+	start    time.Time
+	log      *zap.Logger
+	counters *bbtmetric.Counters
+	platform bluebelltray.Platform
+	peers    *bbtpeer.Node
+	backend  bluebelltray.Backend
+	loads    *bbthttp.LoadReader
+	lifetime time.Duration // of an address answer
+	events   chan event
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
 
 	keeper     *bbtview.Keeper
 	member     *bbtmember.Member
@@ -78,11 +77,10 @@
 	lastCall   bbtexec.CallID
 	limiter    *bbtlimit.Limiter
 	held       map[bbtfleet.AccountID][]held
-	suspicions *bbtsuspect.Suspicions
-	tracker    *bbtsuspect.Tracker
-	guard      *bbtsuspect.Guard
-	claims     map[uint64]*claim // by copy number
-	lastCopy   uint64
+	agent      *bbtsuspect.Agent
+	claims     map[bbtsuspect.CallID]*claim
+	lastClaim  bbtsuspect.CallID
+	asked      time.Time // when the agent was told the time last
 	second     time.Time // when the executor was told the time last
 	local      []any
 	pollers    map[bbtfleet.EndpointID]*poller
@@ -112,35 +110,31 @@
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
 	ctx, cancel := context.WithCancel(context.Background())
 	var p parser
-	suspicions := new(bbtsuspect.Suspicions)
 	d := &Daemon{
-		id:          id,
-		incarnation: bbtfleet.Incarnation(incarnation),
-		start:       start,
-		log:         zap.NewNop(),
-		counters:    bbtmetric.New(),
-		platform:    platform,
-		peers:       peers,
-		backend:     bbthttp.NewBackend(),
-		loads:       bbthttp.NewLoadReader(loadTimeout),
-		lifetime:    defaultLifetime,
-		events:      make(chan event, eventQueue),
-		ctx:         ctx,
-		cancel:      cancel,
-		keeper:      bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
-		member:      bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
-		entry:       bbtroute.New(id, start),
-		owner:       bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
-		exec:        newExecutor(id, bbtfleet.Incarnation(incarnation), start),
-		calls:       make(map[bbtexec.CallID]*call),
-		limiter:     bbtlimit.New(id),
-		held:        make(map[bbtfleet.AccountID][]held),
-		suspicions:  suspicions,
-		tracker:     bbtsuspect.NewTracker(suspicions),
-		guard:       bbtsuspect.NewGuard(suspicions),
-		claims:      make(map[uint64]*claim),
-		jobs:        make(map[bbtgrant.RequestID]*job),
-		pollers:     make(map[bbtfleet.EndpointID]*poller),
+		id:       id,
+		start:    start,
+		log:      zap.NewNop(),
+		counters: bbtmetric.New(),
+		platform: platform,
+		peers:    peers,
+		backend:  bbthttp.NewBackend(),
+		loads:    bbthttp.NewLoadReader(loadTimeout),
+		lifetime: defaultLifetime,
+		events:   make(chan event, eventQueue),
+		ctx:      ctx,
+		cancel:   cancel,
+		keeper:   bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
+		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
+		entry:    bbtroute.New(id, start),
+		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
+		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
+		calls:    make(map[bbtexec.CallID]*call),
+		limiter:  bbtlimit.New(id),
+		held:     make(map[bbtfleet.AccountID][]held),
+		agent:    bbtsuspect.NewAgent(id, bbtfleet.Incarnation(incarnation), keyHome),
+		claims:   make(map[bbtsuspect.CallID]*claim),
+		jobs:     make(map[bbtgrant.RequestID]*job),
+		pollers:  make(map[bbtfleet.EndpointID]*poller),
 	}
 	for _, opt := range opts {
 		opt(d)
@@ -202,10 +196,12 @@
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
-		d.suspicions.Expire(now)
 	}
 	d.resumeDue(now)
-	d.claimsDue(now)
+	if now.Sub(d.asked) >= agentPeriod {
+		d.asked = now
+		d.stepAgent(now, bbtsuspect.Tick{})
+	}
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
--- a/io/bbtdaemon/execute.go
+++ b/io/bbtdaemon/execute.go
@@ -40,6 +40,7 @@
 		Key:         j.req.Key(),
 		Fingerprint: uint64(bbtsuspect.Of(j.req.Account(), j.req.Path(), j.req.Body())),
 		First:       j.req.First(),
+		Uncounted:   !j.req.Counted(),
 		Repeatable:  repeatable,
 	})
 }
@@ -75,7 +76,7 @@
 	}
 	delete(d.calls, id)
 	if c.job != nil {
-		d.release(c.job, nil, false)
+		d.release(now, c.job, false)
 		delete(d.jobs, c.job.id)
 		d.doEntry(now, d.entry.Cancel(now, c.job.id))
 		c.job.cancel()
--- a/io/bbtdaemon/job.go
+++ b/io/bbtdaemon/job.go
@@ -4,7 +4,6 @@
 	"context"
 
 	"bluebelltray"
-	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtverdict"
@@ -18,12 +17,10 @@
 	req        bluebelltray.Request
 	id         bbtgrant.RequestID
 	result     chan result
-	admitted   bool // the account was charged
-	print      bbtsuspect.Fingerprint
-	copy       bbtsuspect.Copy
-	guard      bbtfleet.HostID   // of the claim in force; empty if none
-	aloneOnly  bool              // runs on an endpoint without other suspects
-	target     bbtsuspect.Crash  // the endpoint of the dispatch under way, as a crash would name it
+	admitted   bool              // the account was charged
+	claim      bbtsuspect.CallID // in force at the request's guard; zero if none
+	alone      bool              // runs on an endpoint without other suspects
+	target     bbtsuspect.Crash  // the endpoint of the last dispatch, as a crash would name it
 	crashes    int               // dispatches that may have taken an endpoint down
 	dispatched bool              // a dispatch is under way
 	last       *bbtverdict.Error // how the latest dispatch failed
--- a/io/bbtdaemon/limit.go
+++ b/io/bbtdaemon/limit.go
@@ -87,16 +87,10 @@
 
 // limitHosts tells the limiter which hosts are listed and which can be reached.
 func (d *Daemon) limitHosts() {
-	var listed, reachable []bbtfleet.HostID
-	for _, h := range d.hosts.Hosts() {
-		if h.State() != bbtfleet.HostLive {
-			continue
-		}
-		listed = append(listed, h.ID())
-		if h.ID() == d.id || d.member.State(h.ID()) < bbtmember.Leaving {
-			reachable = append(reachable, h.ID())
-		}
-	}
+	listed := live(d.hosts)
+	reachable := slices.DeleteFunc(slices.Clone(listed), func(id bbtfleet.HostID) bool {
+		return id != d.id && d.member.State(id) >= bbtmember.Leaving
+	})
 	d.limiter.SetHosts(listed, reachable)
 }
 
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -113,7 +113,7 @@
 		Output:   j.req.MaxTokens(),
 		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
 		Repeats:  j.repeats(c),
-		Alone:    j.aloneOnly,
+		Alone:    j.alone,
 	}
 }
 
@@ -136,14 +136,14 @@
 	}
 	d.settle(now, j, 0)
 	if d.jobs[j.id] != j {
-		d.release(j, nil, false)
+		d.release(now, j, false)
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
 		return
 	}
 	delete(d.jobs, j.id)
 	d.doEntry(now, d.entry.Cancel(now, j.id))
 	if !j.dispatched {
-		d.release(j, nil, false)
+		d.release(now, j, false)
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
 	}
 }
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -67,7 +67,7 @@
 		d.peers.Reset(c.Host)
 		return
 	}
-	d.unsettle(now)
+	d.stepAgent(now, bbtsuspect.HostUnreachable{Host: c.Host, Unreachable: c.State >= bbtmember.Leaving})
 	d.place(now)
 	if c.State == bbtmember.Dead {
 		d.step(now, bbtexec.PeerLost{Host: c.Host})
@@ -91,16 +91,21 @@
 	d.peers.SetHosts(hosts.Hosts())
 	d.counters.Set("host-list-revision", int64(hosts.Revision()))
 	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
-	d.unsettle(now)
+	d.stepAgent(now, bbtsuspect.HostsChanged{Hosts: live(hosts)})
 	d.doMember(now, d.member.SetHosts(now, hosts))
 	d.step(now, bbtexec.ViewConfirmed{View: bbthome.NewView(hosts)})
 	d.rank(now)
 }
 
-// unsettle says that another host may have guarded this host's requests until
-// now.
-func (d *Daemon) unsettle(now time.Time) {
-	d.guard.Unsettle(now.Add(bbtsuspect.ClaimTime + unsettledMargin))
+// live returns the names of the list's hosts that take new work.
+func live(list bbtfleet.HostList) []bbtfleet.HostID {
+	var ids []bbtfleet.HostID
+	for _, h := range list.Hosts() {
+		if h.State() == bbtfleet.HostLive {
+			ids = append(ids, h.ID())
+		}
+	}
+	return ids
 }
 
 // rank computes the placement anew.
@@ -139,3 +144,14 @@
 	}
 	return targets
 }
+
+// seen tells the executor which process of a peer a probe or its answer came
+// from.
+func (d *Daemon) seen(now time.Time, from bbtfleet.HostID, m bbtmember.Message) {
+	switch m := m.(type) {
+	case bbtmember.Ping:
+		d.step(now, bbtexec.PeerSeen{Host: from, Incarnation: bbtfleet.Incarnation(m.Incarnation)})
+	case bbtmember.Ack:
+		d.step(now, bbtexec.PeerSeen{Host: from, Incarnation: bbtfleet.Incarnation(m.Incarnation)})
+	}
+}
--- /dev/null
+++ b/io/bbthttp/attempt.go
@@ -0,0 +1,23 @@
+package bbthttp
+
+// Attempt is what a caller says of its attempts to send a request.
+type Attempt uint8
+
+// What a caller may say.
+const (
+	Uncounted    Attempt = iota // it does not count them
+	FirstAttempt                // it never sent the request before
+	LaterAttempt                // it may have sent the request before
+)
+
+// attemptOf returns what the attempt header says.
+func attemptOf(header string) Attempt {
+	switch header {
+	case "":
+		return Uncounted
+	case firstAttempt:
+		return FirstAttempt
+	default:
+		return LaterAttempt
+	}
+}
--- a/io/bbthttp/parse.go
+++ b/io/bbthttp/parse.go
@@ -77,7 +77,7 @@
 	opts := []RequestOption{
 		WithContent(r.Header.Get(headerContentType), body),
 		WithTicket(r.Header.Get(HeaderTicket)),
-		WithKey(key, r.Header.Get(HeaderAttempt) == firstAttempt),
+		WithKey(key, attemptOf(r.Header.Get(HeaderAttempt))),
 	}
 	if r.URL.Path == pathCompletions {
 		return parseCompletion(a, body, opts)
--- a/io/bbthttp/request.go
+++ b/io/bbthttp/request.go
@@ -17,7 +17,7 @@
 	maxTokens    int
 	ticket       string
 	key          string
-	first        bool
+	attempt      Attempt
 }
 
 var _ bluebelltray.Request = (*Request)(nil)
@@ -33,10 +33,10 @@
 // WithTicket sets the ticket that the caller holds.
 func WithTicket(text string) RequestOption { return func(r *Request) { r.ticket = text } }
 
-// WithKey sets the caller's idempotency key and whether the caller states that
-// it sends the request for the first time.
-func WithKey(key string, first bool) RequestOption {
-	return func(r *Request) { r.key, r.first = key, first }
+// WithKey sets the caller's idempotency key and what the caller says of its
+// attempts.
+func WithKey(key string, a Attempt) RequestOption {
+	return func(r *Request) { r.key, r.attempt = key, a }
 }
 
 // WithContent sets the body and its type.
@@ -85,4 +85,7 @@
 
 // First reports whether the caller states that it never sent this request
 // before.
-func (r *Request) First() bool { return r.first }
+func (r *Request) First() bool { return r.attempt == FirstAttempt }
+
+// Counted reports whether the caller counts its attempts.
+func (r *Request) Counted() bool { return r.attempt != Uncounted }
--- a/scheduler.go
+++ b/scheduler.go
@@ -39,4 +39,7 @@
 	// First reports whether the caller states that it never sent this request
 	// before.
 	First() bool
+
+	// Counted reports whether the caller counts its attempts at all.
+	Counted() bool
 }
