core/bbtlimit: wait for a silent home to be replaced

Cause: accounts of a dead home were refused until its death was noticed. Requests now wait for up to three seconds, asking again, and go on when the host's view names another home.

The test of it found that a request larger than the burst of the homes that are left could not be admitted before the host list changed; it now needs their burst and leaves debt.

In the measurement, each decision to wait had a timer of its own, which multiplied with repeated waits; a request now has one.

Mutations seen to fail: empty bucket for a host that becomes home; the whole burst asked for; twice the patience; none.

--- a/core/bbtlimit/account.go
+++ b/core/bbtlimit/account.go
@@ -18,6 +18,7 @@
 	asked    time.Time         // the last round
 	turn     int               // the home that the next round starts at
 	misses   int               // asks of this round that brought less than was asked for
+	silent   time.Time         // of the first ask without an answer since the last grant
 	used     time.Time
 }
 
@@ -41,18 +42,34 @@
 		part = p.part / float64(len(homes))
 	}
 	a.others = slices.DeleteFunc(homes, func(h bbtfleet.HostID) bool { return h == self })
-	a.requests.set(now, c.Requests(), part)
-	a.tokens.set(now, c.Tokens(), part)
+	a.requests.set(now, c.Requests(), p.part, part)
+	a.tokens.set(now, c.Tokens(), p.part, part)
 	a.epoch = p.epoch
 	a.turn = 0
+	a.silent = time.Time{}
 	a.used = now
 }
 
 // prune drops the asks that have waited too long.
 func (a *account) prune(now time.Time) {
-	before := len(a.asks)
-	a.asks = slices.DeleteFunc(a.asks, func(k ask) bool { return now.Sub(k.at) >= AskTimeout })
-	a.misses += before - len(a.asks)
+	waiting := a.asks[:0]
+	for _, k := range a.asks {
+		if now.Sub(k.at) < AskTimeout {
+			waiting = append(waiting, k)
+			continue
+		}
+		a.misses++
+		if a.silent.IsZero() {
+			a.silent = k.at
+		}
+	}
+	a.asks = waiting
+}
+
+// patient reports whether the homes have been silent for so short a time that
+// waiting for them to be replaced is of use.
+func (a *account) patient(now time.Time) bool {
+	return !a.silent.IsZero() && now.Sub(a.silent) < Patience
 }
 
 // answer takes the ask that a grant answers, and reports whether there is one.
@@ -62,6 +79,7 @@
 	if i < 0 {
 		return false
 	}
+	a.silent = time.Time{}
 	want := a.asks[i].want
 	if granted.requests < want.requests || granted.tokens < want.tokens {
 		a.misses++
--- a/core/bbtlimit/admit.go
+++ b/core/bbtlimit/admit.go
@@ -27,7 +27,8 @@
 }
 
 // Resume decides a request again for which Admit said Waiting. It asks for more
-// only while the account's homes grant what they are asked for.
+// only while the account's homes grant what they are asked for, or have been
+// silent for less than Patience.
 func (l *Limiter) Resume(now time.Time, id bbtfleet.AccountID, tokens int) Decision {
 	a := l.account(now, id)
 	if a == nil {
@@ -60,7 +61,7 @@
 	}
 	a.prune(now)
 	var sends []Send
-	if a.mayAsk(now) && (first || !a.dry()) {
+	if a.mayAsk(now) && (first || !a.dry() || a.patient(now)) {
 		sends = l.ask(now, a, tokens)
 	}
 	return l.waitOr(now, a, tokens, sends)
@@ -73,7 +74,7 @@
 	switch {
 	case len(a.asks) > 0:
 		d.until = a.asks[len(a.asks)-1].at.Add(AskTimeout)
-	case !a.dry() && now.Before(a.nextRound()):
+	case (!a.dry() || a.patient(now)) && now.Before(a.nextRound()):
 		d.until = a.nextRound()
 	default:
 		l.stats.Refused++
--- a/core/bbtlimit/limit.go
+++ b/core/bbtlimit/limit.go
@@ -48,6 +48,8 @@
 	AskPeriod = 100 * time.Millisecond
 	// AskFanout is the largest number of homes asked in one round.
 	AskFanout = 4
+	// Patience is how long requests wait for a silent home to be replaced.
+	Patience = 3 * time.Second
 	// Hold is how long granted credit may be spent.
 	Hold = time.Second
 	// IdleTime is how long an account without requests is remembered at least.
--- a/core/bbtlimit/meter.go
+++ b/core/bbtlimit/meter.go
@@ -26,6 +26,7 @@
 type meter struct {
 	whole   bbtfleet.Rate // the contract's, for all hosts together
 	own     *rate.Limiter // nil while the contract sets no limit
+	most    float64       // units of the burst of all homes that can be reached
 	granted credit
 	expires time.Time
 	debt    credit
@@ -33,16 +34,19 @@
 	counted time.Time
 }
 
-// set takes the contract's rate and this host's part of it into force.
-func (m *meter) set(now time.Time, whole bbtfleet.Rate, part float64) {
+// set takes the contract's rate into force: the part of all homes that can be
+// reached, and this host's own part. A host that becomes home starts with the
+// burst of its part.
+func (m *meter) set(now time.Time, whole bbtfleet.Rate, reached, part float64) {
 	m.whole = whole
+	m.most = whole.Burst() * reached
 	if whole.PerSecond() == 0 {
 		m.own, m.debt = nil, 0
 		return
 	}
 	perSecond := rate.Limit(whole.PerSecond() * part * float64(unit))
 	burst := int(whole.Burst() * part * float64(unit))
-	if m.own == nil {
+	if m.own == nil || m.own.Burst() == 0 {
 		m.own = rate.NewLimiter(perSecond, burst)
 		return
 	}
@@ -71,9 +75,9 @@
 }
 
 // cost returns the credit that must be at hand to admit n units. A request
-// larger than the whole burst needs the whole burst and leaves debt.
+// larger than the burst of all homes needs that burst and leaves debt.
 func (m *meter) cost(n float64) credit {
-	return credit(min(n, m.whole.Burst()) * float64(unit))
+	return credit(min(n, m.most) * float64(unit))
 }
 
 // missing returns the credit that is lacking to admit n units.
--- a/internal/limitrun/fleet.go
+++ b/internal/limitrun/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -44,6 +45,7 @@
 	tokens  int
 	arrived time.Time
 	decided bool
+	timer   int // the timer that counts; earlier ones are void
 }
 
 // newFleet returns n hosts that all know one another.
@@ -118,7 +120,13 @@
 		r.decided = true
 	case bbtlimit.Waiting:
 		h.waiting = append(h.waiting, r)
-		f.after(d.Until().Sub(f.now), func() { f.resume(h, r) })
+		r.timer++
+		timer := r.timer
+		f.after(d.Until().Sub(f.now), func() {
+			if r.timer == timer {
+				f.resumeOne(h, r)
+			}
+		})
 	}
 }
 
@@ -130,6 +138,13 @@
 	f.decide(h, r, h.limiter.Resume(f.now, r.account, r.tokens))
 }
 
+// resumeOne takes a request whose timer has ended off the waiting ones and
+// decides it again.
+func (f *fleet) resumeOne(h *host, r *request) {
+	h.waiting = slices.DeleteFunc(h.waiting, func(w *request) bool { return w == r })
+	f.resume(h, r)
+}
+
 // send puts messages on the network.
 func (f *fleet) send(from *host, sends []bbtlimit.Send) {
 	for _, s := range sends {
