--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -78,14 +78,19 @@
 }
 
 // issueReplied goes on with a call by its home's reply. A ticket that took too
-// long is not handed out: its home may no longer be the key's home.
+// long is not handed out: its home may no longer be the key's home. A first
+// attempt that the home has no ticket for, as it drains or is full, gets one
+// from this host.
 func (e *Executor) issueReplied(now time.Time, from bbtfleet.HostID, m IssueReply) {
 	c := e.take(from, m.Request)
 	if c == nil {
 		return
 	}
-	if now.Sub(c.asked) >= IssueTimeout {
+	late := now.Sub(c.asked) >= IssueTimeout
+	if late {
 		e.counts.staleReplies++
+	}
+	if late || c.first && m.Ticket == "" {
 		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		return
 	}
@@ -110,59 +115,6 @@
 	})
 }
 
-// sendFailed ends the call of a message that did not leave.
-func (e *Executor) sendFailed(now time.Time, ev SendFailed) {
-	switch m := ev.Message.(type) {
-	case IssueRequest:
-		if c := e.unreached(m.Request.ID); c != nil {
-			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
-		}
-	case ForwardRequest:
-		if c := e.unreached(m.Request.ID); c != nil {
-			e.refuse(c, notReached(c.first, bbtverdict.ReasonExecutorGone))
-		}
-	}
-}
-
-// unreached returns the call of a message that reached nobody, or nil.
-func (e *Executor) unreached(id uint64) *call {
-	p, ok := e.pending[id]
-	if !ok {
-		return nil
-	}
-	delete(e.pending, id)
-	return e.calls[p.call]
-}
-
-// peerLost ends the calls whose reply will not come.
-func (e *Executor) peerLost(now time.Time, h bbtfleet.HostID) {
-	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
-		p := e.pending[id]
-		if p.to != h {
-			continue
-		}
-		delete(e.pending, id)
-		c := e.calls[p.call]
-		switch {
-		case c == nil:
-		case c.ticket == "":
-			e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
-		default:
-			e.refuse(c, mayHaveRun(bbtverdict.ReasonExecutorGone))
-		}
-	}
-	e.originLost(h)
-}
-
-// originLost forgets the calls that a lost peer passed on.
-func (e *Executor) originLost(h bbtfleet.HostID) {
-	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
-		if c := e.calls[id]; c != nil && c.origin.host == h {
-			e.callerGone(id)
-		}
-	}
-}
-
 // withdraw forgets a call that waits for a peer and tells the peer.
 func (e *Executor) withdraw(c *call) {
 	delete(e.calls, c.id)
@@ -179,8 +131,11 @@
 	}
 }
 
-// tick expires what is over.
+// tick expires what is over and sends held replies again.
 func (e *Executor) tick(now time.Time) {
+	for _, s := range e.unsent.take(now) {
+		e.do(s)
+	}
 	e.ledger.Expire(now)
 	e.home.Expire(now)
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
--- a/internal/fleetrun/main.go
+++ b/internal/fleetrun/main.go
@@ -9,12 +9,17 @@
 	"github.com/alecthomas/kong"
 )
 
+// shown is the number of violations that are printed.
+const shown = 10
+
 // settings is the command line.
 type settings struct {
 	Hosts     int      `help:"Entry hosts." default:"400"`
 	Endpoints int      `help:"Endpoints." default:"600"`
 	Contracts int      `help:"Contracts." default:"19000"`
 	Zones     int      `help:"Availability zones." default:"7"`
+	Changes   int      `help:"Changes of the configuration a day in the steady scenario." default:"300"`
+	Unshared  bool     `help:"Let each host parse and keep its own configuration, to measure its memory."`
 	Seed      uint64   `help:"Seed of all random choices." default:"1"`
 	Scenario  []string `help:"Scenarios to run after the start; all if none is named."`
 	Header    bool     `help:"Print the column names first." default:"true" negatable:""`
@@ -33,10 +38,12 @@
 		}
 		fmt.Println(w.measure(sc))
 	}
-	for _, v := range w.checks.violations {
+	all := w.checks.violations
+	for _, v := range all[:min(len(all), shown)] {
 		fmt.Fprintln(os.Stderr, "violation:", v)
 	}
-	if len(w.checks.violations) > 0 {
+	if len(all) > 0 {
+		fmt.Fprintln(os.Stderr, len(all), "violations")
 		os.Exit(1)
 	}
 }
