core/bbtlimit: homes by the hash that sends callers to them

core/bbtowner's hash had changed, and callers were sent to hosts that were not their homes; the test of both found it. A view that is in force already no longer makes the limiter look for homes again and forget which are silent.

--- a/core/bbtlimit/limit.go
+++ b/core/bbtlimit/limit.go
@@ -72,8 +72,12 @@
 
 // SetHosts takes a new view of the hosts into force: the live hosts that the
 // platform lists, and those of them that this host can reach, itself among
-// them. Homes are chosen among the reachable hosts.
+// them. Homes are chosen among the reachable hosts. A view that is in
+// force already changes nothing.
 func (l *Limiter) SetHosts(listed, reachable []bbtfleet.HostID) {
+	if l.placement.of(listed, reachable) {
+		return
+	}
 	l.placement = newPlacement(listed, reachable, l.placement.epoch+1)
 }
 
--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -283,6 +283,7 @@
 	if got != bbtlimit.Refused || at.Before(least) || at.After(most) {
 		t.Errorf("got %v at %v, want refused from %v to %v", got, at, least, most)
 	}
+	l.SetHosts(hosts, hosts) // the view in force already
 	later := at.Add(time.Second)
 	if got := l.Resume(l.Admit(later, "a", 500).Until(), "a", 500).Outcome(); got != bbtlimit.Refused {
 		t.Errorf("got %v from a home silent for long, want refused after one ask", got)
--- a/core/bbtlimit/placement.go
+++ b/core/bbtlimit/placement.go
@@ -34,11 +34,13 @@
 	epoch      uint64
 	part       float64 // reachable hosts of the listed ones, 0 to 1
 	candidates []candidate
+	listed     []bbtfleet.HostID
+	reachable  []bbtfleet.HostID
 }
 
 // newPlacement returns the placement over the listed hosts that can be reached.
 func newPlacement(listed, reachable []bbtfleet.HostID, epoch uint64) placement {
-	p := placement{epoch: epoch}
+	p := placement{epoch: epoch, listed: slices.Clone(listed), reachable: slices.Clone(reachable)}
 	for _, id := range listed {
 		if slices.Contains(reachable, id) {
 			p.candidates = append(p.candidates, candidate{id: id, hash: xxhash.Sum64String(string(id))})
@@ -50,6 +52,11 @@
 	return p
 }
 
+// of reports whether the placement is that of the view.
+func (p *placement) of(listed, reachable []bbtfleet.HostID) bool {
+	return slices.Equal(p.listed, listed) && slices.Equal(p.reachable, reachable)
+}
+
 // homes returns the n hosts of highest score for the account, in order.
 func (p *placement) homes(id bbtfleet.AccountID, n int) []bbtfleet.HostID {
 	key := xxhash.Sum64String("account/" + string(id))
@@ -86,11 +93,12 @@
 	return 0
 }
 
-// score returns a host's rendezvous score for a key.
+// score returns a host's rendezvous score for a key. It is that of
+// core/bbtowner, which sends callers to the homes.
 func score(host, key uint64) uint64 {
-	const words, word = 3, 8
-	var buf [words * word]byte
-	binary.LittleEndian.PutUint64(buf[0:], host)
+	const word = 8 // bytes
+	var buf [2 * word]byte
+	binary.LittleEndian.PutUint64(buf[:word], host)
 	binary.LittleEndian.PutUint64(buf[word:], key)
 	return xxhash.Sum64(buf[:])
 }
