--- a/core/bbtlimit/limit_test.go
+++ b/core/bbtlimit/limit_test.go
@@ -307,6 +307,11 @@
 	if got := l.Admit(start.Add(time.Minute), "a", 1000).Outcome(); got != bbtlimit.Admitted {
 		t.Errorf("got %v for a request larger than the burst of the homes that are left, want admitted", got)
 	}
+	l.SetHosts(hosts[:1], hosts[:1])
+	l.Admit(start.Add(2*time.Minute), "a", 1000)
+	if got := l.Admit(start.Add(2*time.Minute+5*time.Second), "a", 500).Outcome(); got != bbtlimit.Admitted {
+		t.Errorf("got %v at the whole rate, once the list has lost the other home, want admitted", got)
+	}
 }
 
 func TestLargeAccountsLeaveAsksToSmallOnes(t *testing.T) {
