--- a/core/bbtlimit/limit.go
+++ b/core/bbtlimit/limit.go
@@ -48,6 +48,8 @@
 	AskPeriod = 100 * time.Millisecond
 	// AskFanout is the largest number of homes asked in one round.
 	AskFanout = 4
+	// Patience is how long requests wait for a silent home to be replaced.
+	Patience = 3 * time.Second
 	// Hold is how long granted credit may be spent.
 	Hold = time.Second
 	// IdleTime is how long an account without requests is remembered at least.
@@ -70,8 +72,12 @@
 
 // SetHosts takes a new view of the hosts into force: the live hosts that the
 // platform lists, and those of them that this host can reach, itself among
-// them. Homes are chosen among the reachable hosts.
+// them. Homes are chosen among the reachable hosts. A view that is in
+// force already changes nothing.
 func (l *Limiter) SetHosts(listed, reachable []bbtfleet.HostID) {
+	if l.placement.of(listed, reachable) {
+		return
+	}
 	l.placement = newPlacement(listed, reachable, l.placement.epoch+1)
 }
 
