--- /dev/null
+++ b/core/bbtgrant/owner_test.go
@@ -0,0 +1,275 @@
+package bbtgrant_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+	"pgregory.net/rapid"
+)
+
+const (
+	lease = 2 * time.Second
+	life  = time.Second
+	slots = 8
+	pool  = bbtfleet.PoolID("p")
+)
+
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "100")
+}
+
+// bench drives an owner of one endpoint.
+type bench struct {
+	owner   *bbtgrant.Owner
+	now     time.Time
+	last    bbtgrant.RequestID
+	running []bbtgrant.Permit
+}
+
+func newBench() *bench {
+	b := &bench{owner: bbtgrant.New(bbtgrant.WithLease(lease), bbtgrant.WithPermitLife(life)), now: time.Unix(1000, 0)}
+	ep := bbtfleet.NewEndpoint("e", "z", bbtfleet.ModelEngine, pool, bbtfleet.WithSlots(slots))
+	b.take(b.owner.Own(b.now, []bbtfleet.Endpoint{ep}))
+	b.take(b.owner.Confirm(b.now))
+	return b
+}
+
+// take notes the permits among the actions and returns their number.
+func (b *bench) take(actions []bbtgrant.Action) int {
+	n := 0
+	for _, a := range actions {
+		if g, ok := a.(bbtgrant.Grant); ok {
+			b.running = append(b.running, g.Permit)
+			n++
+		}
+	}
+	return n
+}
+
+// pass lets time pass with the view confirmed.
+func (b *bench) pass(d time.Duration) int {
+	n := 0
+	for end := b.now.Add(d); b.now.Before(end); {
+		b.now = b.now.Add(100 * time.Millisecond)
+		n += b.take(b.owner.Confirm(b.now))
+		n += b.take(b.owner.Tick(b.now))
+	}
+	return n
+}
+
+func (b *bench) register(r bbtgrant.Registration) []bbtgrant.Action {
+	b.last++
+	r.Request, r.Pool, r.Account, r.Prompt, r.Output = b.last, pool, "a", 10, 10
+	if r.Tier == 0 {
+		r.Tier = 1
+	}
+	if r.Left == 0 {
+		r.Left = time.Minute
+	}
+	actions := b.owner.Register(b.now, "h", r)
+	b.take(actions)
+	return actions
+}
+
+func (b *bench) report(r bbtgrant.LoadReport) int {
+	r.Endpoint = "e"
+	return b.take(b.owner.Load(b.now, r))
+}
+
+// finish ends the first running permit.
+func (b *bench) finish(o bbtgrant.Outcome) int {
+	p := b.running[0]
+	b.running = b.running[1:]
+	return b.take(b.owner.Done(b.now, "h", bbtgrant.Done{Permit: p.ID, Outcome: o, Output: 10, FirstToken: 100 * time.Millisecond, Elapsed: 300 * time.Millisecond}))
+}
+
+// warm lets the endpoint be known as warm and the former owner's lease end.
+func (b *bench) warm() {
+	b.pass(lease + life)
+	b.report(bbtgrant.LoadReport{Incarnation: 1, Served: 1000, At: b.now})
+}
+
+func TestNeverMorePermitsThanSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench()
+		b.warm()
+		for range rapid.IntRange(1, 80).Draw(t, "events") {
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0, 1:
+				b.register(bbtgrant.Registration{})
+			case 2:
+				if len(b.running) > 0 {
+					b.finish(bbtgrant.Finished)
+				}
+			case 3:
+				if len(b.running) > 0 {
+					p := b.running[0]
+					b.running = b.running[1:]
+					b.take(b.owner.Return(b.now, "h", p.ID))
+				}
+			default:
+				b.pass(time.Second)
+			}
+			if got := len(b.running); got > slots {
+				t.Fatalf("%d permits outstanding, want at most %d", got, slots)
+			}
+		}
+	})
+}
+
+func TestHigherTierIsGrantedFirst(t *testing.T) {
+	b := newBench()
+	b.register(bbtgrant.Registration{})
+	low, high := bbtgrant.Registration{Tier: 3}, bbtgrant.Registration{Tier: 1}
+	b.register(low)
+	b.register(high)
+	b.running = b.running[:1]
+	b.finish(bbtgrant.Finished)
+	if got, want := b.running[0].Request, b.last; got != want {
+		t.Errorf("request %d granted, want %d of the higher tier", got, want)
+	}
+}
+
+func TestHeldPrefixGoesFirstWithinItsTier(t *testing.T) {
+	b := newBench()
+	b.register(bbtgrant.Registration{Prefix: 7})
+	b.register(bbtgrant.Registration{Tier: 2})
+	b.register(bbtgrant.Registration{Tier: 3})
+	b.register(bbtgrant.Registration{Tier: 3, Prefix: 7})
+	for _, want := range []bbtgrant.RequestID{2, 4, 3} {
+		b.finish(bbtgrant.Finished)
+		if got := b.running[0].Request; got != want {
+			t.Errorf("request %d granted, want %d", got, want)
+		}
+	}
+}
+
+func TestNoGrantWithoutAFreshView(t *testing.T) {
+	b := newBench()
+	b.now = b.now.Add(lease)
+	b.register(bbtgrant.Registration{})
+	if got := len(b.running); got != 0 {
+		t.Errorf("%d permits with a stale view, want 0", got)
+	}
+	if got, want := b.take(b.owner.Confirm(b.now)), 1; got != want {
+		t.Errorf("%d permits after a confirmation, want %d", got, want)
+	}
+}
+
+func TestColdEndpointRampsFromOne(t *testing.T) {
+	b := newBench()
+	b.pass(lease + life)
+	for range 3 * slots {
+		b.register(bbtgrant.Registration{})
+	}
+	if got, want := len(b.running), 1; got != want {
+		t.Fatalf("%d permits on a cold endpoint, want %d", got, want)
+	}
+	want := 1
+	for range 3 {
+		b.finish(bbtgrant.Finished)
+		b.pass(4 * time.Second)
+		b.finish(bbtgrant.Finished)
+		want *= 2
+		if got := len(b.running); got > want {
+			t.Errorf("%d permits, want at most %d", got, want)
+		}
+	}
+	if got := len(b.running); got < slots/2 {
+		t.Errorf("%d permits after three steps, want at least %d", got, slots/2)
+	}
+}
+
+func TestSignsOfAColdEndpoint(t *testing.T) {
+	signs := map[string]func(b *bench){
+		"new incarnation": func(b *bench) { b.report(bbtgrant.LoadReport{Incarnation: 2, At: b.now}) },
+		"error burst":     func(b *bench) { b.finish(bbtgrant.Lost); b.finish(bbtgrant.Lost) },
+		"refused":         func(b *bench) { b.finish(bbtgrant.Refused) },
+	}
+	for name, sign := range signs {
+		b := newBench()
+		b.warm()
+		for range 4 {
+			b.register(bbtgrant.Registration{})
+		}
+		b.now = b.now.Add(time.Millisecond)
+		sign(b)
+		for len(b.running) > 0 {
+			b.finish(bbtgrant.Cancelled)
+		}
+		b.pass(2 * time.Second)
+		for range 4 {
+			b.register(bbtgrant.Registration{})
+		}
+		if got, want := len(b.running), 1; got != want {
+			t.Errorf("%s: %d permits, want %d", name, got, want)
+		}
+	}
+}
+
+func TestReportFromBeforeTheTakeoverWarmsNothing(t *testing.T) {
+	b := newBench()
+	b.pass(lease + life)
+	b.report(bbtgrant.LoadReport{Incarnation: 1, Served: 1000, At: b.now.Add(-time.Minute)})
+	b.register(bbtgrant.Registration{})
+	b.register(bbtgrant.Registration{})
+	if got, want := len(b.running), 1; got != want {
+		t.Errorf("%d permits, want %d", got, want)
+	}
+}
+
+func TestTakeoverLeavesRoomToTheFormerOwner(t *testing.T) {
+	b := newBench()
+	b.now = b.now.Add(100 * time.Millisecond)
+	b.report(bbtgrant.LoadReport{Incarnation: 1, Served: 1000, Running: slots / 2, At: b.now})
+	for range slots {
+		b.register(bbtgrant.Registration{})
+	}
+	if got, want := len(b.running), slots/4; got != want {
+		t.Errorf("%d permits within the former owner's lease, want half of the room, %d", got, want)
+	}
+	b.pass(lease + life)
+	if got, want := len(b.running), slots/2; got != want {
+		t.Errorf("%d permits after the lease, want all room that foreign work leaves, %d", got, want)
+	}
+}
+
+func TestDeadHostsPermitsCountUntilTheyExpire(t *testing.T) {
+	b := newBench()
+	b.register(bbtgrant.Registration{})
+	b.owner.Forget(b.now, "h")
+	b.take(b.owner.Register(b.now, "i", bbtgrant.Registration{Request: 1, Pool: pool, Tier: 1, Left: time.Minute}))
+	b.pass(life)
+	if got, want := len(b.running), 1; got != want {
+		t.Fatalf("%d permits while the dead host's may be used, want %d", got, want)
+	}
+	b.pass(lease + life)
+	if got, want := len(b.running), 2; got != want {
+		t.Errorf("%d permits after that, want %d", got, want)
+	}
+}
+
+func TestPermitExpiresByTheEntryHostsClock(t *testing.T) {
+	b := newBench()
+	b.register(bbtgrant.Registration{})
+	b.register(bbtgrant.Registration{Sent: time.Hour})
+	b.pass(500 * time.Millisecond)
+	b.finish(bbtgrant.Finished)
+	if got, want := b.running[0].Expiry, time.Hour+500*time.Millisecond+life; got != want {
+		t.Errorf("expiry = %v, want %v", got, want)
+	}
+}
+
+func TestUnreachableDeadlineIsShedAtOnce(t *testing.T) {
+	b := newBench()
+	actions := b.register(bbtgrant.Registration{Left: time.Millisecond})
+	s, ok := actions[0].(bbtgrant.Shed)
+	if !ok || s.Reason != bbtverdict.ReasonDeadline {
+		t.Errorf("got %+v, want a shed for the deadline", actions)
+	}
+}
--- a/core/bbtgrant/ramp.go
+++ b/core/bbtgrant/ramp.go
@@ -17,14 +17,14 @@
 // ramp limits what a cold endpoint gets: one request at first, twice as many
 // with each step. The zero value is cold.
 type ramp struct {
-	warm     bool
-	limit    int
-	raised   time.Time
-	proofs   int // that the endpoint serves what it was given, since the last step
-	lost     int
-	lostAt   time.Time
-	slow     int     // slow first tokens in a row
-	first    float64 // usual first-token time in seconds
+	warm   bool
+	limit  int
+	raised time.Time
+	proofs int // that the endpoint serves what it was given, since the last step
+	lost   int
+	lostAt time.Time
+	slow   int     // slow first tokens in a row
+	first  float64 // usual first-token time in seconds
 }
 
 // cool starts the ramp from one.
--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -71,11 +71,7 @@
 
 // refuse ends a request that is not dispatched.
 func (e *Entry) refuse(j *job, reason bbtverdict.Reason) []Action {
-	verdict := bbtverdict.NotRun
-	if j.repeats > 0 {
-		verdict = bbtverdict.MayHaveRun
-	}
-	return e.fail(j, verdict, reason)
+	return e.fail(j, j.verdict(), reason)
 }
 
 // fail ends a request without an answer.
--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -151,7 +151,7 @@
 	j.dispatch = nil
 	switch o.Kind {
 	case bbtgrant.Refused:
-		return append([]Action{done}, e.again(now, j, bbtverdict.NotRun, bbtverdict.ReasonEndpointRefused)...)
+		return append([]Action{done}, e.again(now, j, j.verdict(), bbtverdict.ReasonEndpointRefused)...)
 	case bbtgrant.Lost:
 		j.Alone = true
 		if j.repeats >= min(j.Repeats, mostLost-1) {
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -31,6 +31,15 @@
 	first  time.Time // zero before the first token
 }
 
+// verdict returns what is known of the execution of a request that has no
+// dispatch under way.
+func (j *job) verdict() bbtverdict.Verdict {
+	if j.repeats > 0 {
+		return bbtverdict.MayHaveRun
+	}
+	return bbtverdict.NotRun
+}
+
 // drop forgets the registration with an owner and reports whether there was
 // one.
 func (j *job) drop(h bbtfleet.HostID) bool {
