--- a/core/bbtgrant/bench_test.go
+++ b/core/bbtgrant/bench_test.go
@@ -7,6 +7,7 @@
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
+	"github.com/fxamacker/cbor/v2"
 )
 
 // BenchmarkDecision measures one registration, one permit's end and the grant
@@ -46,3 +47,41 @@
 	}
 	return to
 }
+
+// BenchmarkEncode measures the encoded messages of one request that waits with
+// two owners: two registrations, a permit, a withdrawal and the end.
+func BenchmarkEncode(b *testing.B) {
+	messages := []bbtgrant.Message{
+		bbtgrant.Registration{Request: 1 << 20, Pool: "summary-large", Account: "account-12345", Tier: 2, Sent: 100 * time.Hour, Left: 20 * time.Second, Prompt: 800, Output: 400, Prefix: 1 << 63, PrefixTokens: 500},
+		bbtgrant.Registration{Request: 1 << 20, Pool: "summary-large", Account: "account-12345", Tier: 2, Sent: 100 * time.Hour, Left: 20 * time.Second, Prompt: 800, Output: 400, Prefix: 1 << 63, PrefixTokens: 500},
+		bbtgrant.Permit{ID: 1 << 60, Request: 1 << 20, Endpoint: "llm-server-123", Incarnation: 1 << 60, Expiry: 100 * time.Hour},
+		bbtgrant.Withdrawal{Request: 1 << 20},
+		bbtgrant.Done{Permit: 1 << 60, Outcome: bbtgrant.Finished, Output: 200, FirstToken: 300 * time.Millisecond, Elapsed: 8 * time.Second},
+	}
+	size := 0
+	for b.Loop() {
+		size = 0
+		for _, m := range messages {
+			data, err := cbor.Marshal(m)
+			if err != nil {
+				b.Fatal(err)
+			}
+			size += len(data)
+		}
+	}
+	b.ReportMetric(float64(size), "B/request")
+}
+
+// BenchmarkWait measures the state of a waiting request as the bytes that
+// registering one allocates.
+func BenchmarkWait(b *testing.B) {
+	x := newBench()
+	x.owner = bbtgrant.New(bbtgrant.WithWaiting(1 << 30))
+	x.owner.Own(x.now, []bbtfleet.Endpoint{bbtfleet.NewEndpoint("e", "z", bbtfleet.ModelEngine, pool)})
+	b.ReportAllocs()
+	n := 0
+	for b.Loop() {
+		n++
+		x.owner.Register(x.now, "h", bbtgrant.Registration{Request: bbtgrant.RequestID(n), Pool: pool, Account: bbtfleet.AccountID(fmt.Sprint(n % 1000)), Tier: bbtfleet.Tier(n%4 + 1), Left: time.Hour})
+	}
+}
