bbtgrant, bbtroute: endpoints without load reports, requests without deadlines

Cause: an endpoint that gives no load reports and refused one dispatch was kept at one permit for good; a request without a deadline was registered with a negative time left and shed.

Mutations that failed the tests: the doubt not ended by an answer; the time left taken from a zero deadline.

--- a/core/bbtgrant/endpoint.go
+++ b/core/bbtgrant/endpoint.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// done takes the end of a dispatch in.
-func (e *endpoint) done(now time.Time, d Done) {
+// done takes the end of a dispatch in that was granted at the given time.
+func (e *endpoint) done(now, granted time.Time, d Done) {
 	if d.Outcome == Refused {
 		e.paused = now.Add(refusedPause)
 		e.ramp.hold(now)
@@ -135,11 +135,21 @@
 	}
 	e.ramp.raise(now, e.record.Slots())
 	if d.Outcome == Finished {
+		e.answered(now, granted)
 		e.pace.learn(d)
 		e.adjust(now)
 	}
 }
 
+// answered ends the doubt about an endpoint that gives no load reports: it may
+// be a new run, so its ramp starts from one.
+func (e *endpoint) answered(now, granted time.Time) {
+	if e.reported.IsZero() && !e.doubted.IsZero() && granted.After(e.doubted) {
+		e.doubted = time.Time{}
+		e.ramp.cool(now)
+	}
+}
+
 // adjust moves the limit so that tokens keep coming fast enough.
 func (e *endpoint) adjust(now time.Time) {
 	if now.Sub(e.adjusted) < limitStep {
--- a/core/bbtgrant/grant.go
+++ b/core/bbtgrant/grant.go
@@ -59,6 +59,7 @@
 		item:     it,
 		reg:      w.Registration,
 		unread:   e.unread(w.Registration),
+		granted:  now,
 		until:    later(now.Add(o.permitLife), it.Deadline.Add(orphanTime)),
 	}
 	e.pace.add(now, r.unread)
--- a/core/bbtgrant/owner.go
+++ b/core/bbtgrant/owner.go
@@ -115,7 +115,7 @@
 	if p == nil {
 		return nil
 	}
-	p.endpoint.done(now, d)
+	p.endpoint.done(now, p.granted, d)
 	if pool := o.pools[p.reg.Pool]; pool != nil && d.Outcome == Finished {
 		pool.lengths.learn(p.reg.Output, d.Output)
 	}
--- a/core/bbtgrant/owner_test.go
+++ b/core/bbtgrant/owner_test.go
@@ -273,3 +273,21 @@
 		t.Errorf("got %+v, want a shed for the deadline", actions)
 	}
 }
+
+func TestRefusalWithoutLoadReportsRampsAgain(t *testing.T) {
+	b := newBench()
+	b.pass(lease + life)
+	b.register(bbtgrant.Registration{})
+	b.finish(bbtgrant.Refused)
+	for range 2 * slots {
+		b.register(bbtgrant.Registration{})
+	}
+	for range 8 {
+		b.pass(5 * time.Second)
+		b.finish(bbtgrant.Finished)
+		if got := len(b.running); got >= 2 {
+			return
+		}
+	}
+	t.Errorf("%d permits, want the ramp to go on", len(b.running))
+}
--- a/core/bbtgrant/permit.go
+++ b/core/bbtgrant/permit.go
@@ -15,7 +15,8 @@
 	endpoint *endpoint
 	item     bbtqueue.Item
 	reg      Registration
-	unread   float64   // prompt tokens the endpoint has to read
+	unread   float64 // prompt tokens the endpoint has to read
+	granted  time.Time
 	until    time.Time // the dispatch has ended by then even if nobody says so
 	index    int       // in the heap
 }
--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -87,7 +87,7 @@
 		Account:      j.Account,
 		Tier:         j.Tier,
 		Sent:         now.Sub(e.start),
-		Left:         j.Deadline.Sub(now),
+		Left:         j.left(now),
 		Prompt:       j.Prompt,
 		Output:       j.Output,
 		Prefix:       j.Prefix,
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -9,6 +9,9 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+// noDeadline is the time that a request without a deadline may take.
+const noDeadline = time.Hour
+
 // job is the state of one request between Submit and its end.
 type job struct {
 	Request
@@ -40,6 +43,14 @@
 	return bbtverdict.NotRun
 }
 
+// left returns the time to the deadline, or noDeadline.
+func (j *job) left(now time.Time) time.Duration {
+	if j.Deadline.IsZero() {
+		return noDeadline
+	}
+	return j.Deadline.Sub(now)
+}
+
 // drop forgets the registration with an owner and reports whether there was
 // one.
 func (j *job) drop(h bbtfleet.HostID) bool {
