bbtmember: a host's own contact with its partners

Rights to an endpoint's slots by rank need what a host knows from its own exchange with the other ranks: when it last heard from them and when the last probe was sent that they answered, with their host list. Partners are probed every 1.5 s whatever is believed of them. An answer of a former process counts for nothing.

Seen to fail: answers of former processes taken (TestAnswerOfAFormerProcessIsNoContact), partners not probed (TestPartnersAreProbedWhateverIsBelieved).

--- /dev/null
+++ b/core/bbtmember/contact.go
@@ -0,0 +1,26 @@
+package bbtmember
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// Contact is what a host knows from its own exchange with another host.
+type Contact struct {
+	heard time.Time
+	acked time.Time
+	list  bbtfleet.Revision
+}
+
+// Heard returns when the last message came from the other host's newest known
+// process, zero if none has.
+func (c Contact) Heard() time.Time { return c.heard }
+
+// Acked returns when the last Ping was sent that the other host has answered,
+// zero if it has answered none.
+func (c Contact) Acked() time.Time { return c.acked }
+
+// List returns the host list revision in force at the other host when it
+// answered that Ping.
+func (c Contact) List() bbtfleet.Revision { return c.list }
--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -12,11 +12,12 @@
 
 // Periods of the Member.
 const (
-	TickInterval   = 200 * time.Millisecond // longest time between calls of Tick
-	ProbeInterval  = time.Second            // between probes of one neighbour after another
-	AckTimeout     = 500 * time.Millisecond // from a Ping to asking others to probe, from there to suspicion
-	SuspectTimeout = 2 * time.Second        // from suspicion to Dead
-	PauseGap       = time.Second            // gap between ticks that is taken for a pause
+	TickInterval    = 200 * time.Millisecond  // longest time between calls of Tick
+	ProbeInterval   = time.Second             // between probes of one neighbour after another
+	PartnerInterval = 1500 * time.Millisecond // between probes of one partner
+	AckTimeout      = 500 * time.Millisecond  // from a Ping to asking others to probe, from there to suspicion
+	SuspectTimeout  = 2 * time.Second         // from suspicion to Dead
+	PauseGap        = time.Second             // gap between ticks that is taken for a pause
 )
 
 // formerFor is how long a host that has left the host list is remembered.
@@ -41,18 +42,21 @@
 	peers      map[bbtfleet.HostID]*peer
 	former     map[bbtfleet.HostID]*peer // that have left the host list
 	neighbours []bbtfleet.HostID
+	partners   []bbtfleet.HostID
 
-	probes probes
-	queue  queue
-	eager  bool      // a change has to be told at once
-	told   time.Time // when changes were last told at once
-	rounds int       // probes of neighbours so far
-	next   int       // place in neighbours of the next probe
+	probes  probes
+	queue   queue
+	eager   bool      // a change has to be told at once
+	told    time.Time // when changes were last told at once
+	rounds  int       // probes of neighbours so far
+	next    int       // place in neighbours of the next probe
+	partner int       // place in partners of the next probe
 
 	reminded int // place on the ring of the host that a message spoke of last
 
-	lastTick  time.Time
-	nextProbe time.Time
+	lastTick    time.Time
+	nextProbe   time.Time
+	nextPartner time.Time
 }
 
 // New returns the Member of a host's process. A later process of the same host
@@ -79,6 +83,18 @@
 	return Dead
 }
 
+// Contact returns what is known from the exchange with the host.
+func (m *Member) Contact(id bbtfleet.HostID) Contact {
+	if p, ok := m.peers[id]; ok {
+		return p.contact
+	}
+	return Contact{}
+}
+
+// SetPartners gives the hosts whose answers the host depends on, each of which
+// is probed every PartnerInterval whatever is believed of it.
+func (m *Member) SetPartners(hosts []bbtfleet.HostID) { m.partners = slices.Clone(hosts) }
+
 // Neighbours returns the hosts that the Member probes; they must not be
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
--- a/core/bbtmember/member_test.go
+++ b/core/bbtmember/member_test.go
@@ -266,3 +266,49 @@
 		}
 	}
 }
+
+func TestPartnersAreProbedWhateverIsBelieved(t *testing.T) {
+	f := newFleet(60)
+	m := f.members[0]
+	partners := []bbtfleet.HostID{"h7", "h8"}
+	m.SetPartners(partners)
+	f.stopped["h8"] = true
+	for range 20 {
+		f.run(bbtmember.PartnerInterval)
+		c := m.Contact("h7")
+		if got, most := f.now.Sub(c.Acked()), 2*bbtmember.PartnerInterval; got > most {
+			t.Fatalf("got an answered probe %v ago, want at most %v", got, most)
+		}
+		if c.Heard().Before(c.Acked()) {
+			t.Fatalf("heard at %v, before the probe answered at %v was sent", c.Heard(), c.Acked())
+		}
+	}
+	if got := m.Contact("h8").Heard(); f.now.Sub(got) < 20*bbtmember.PartnerInterval {
+		t.Errorf("got a message of the stopped host at %v", got)
+	}
+	f.stopped["h8"] = false
+	f.run(2 * bbtmember.PartnerInterval)
+	if got, most := f.now.Sub(m.Contact("h8").Acked()), 2*bbtmember.PartnerInterval; got > most {
+		t.Errorf("got an answered probe of the host that returned %v ago, want at most %v", got, most)
+	}
+}
+
+func TestAnswerOfAFormerProcessIsNoContact(t *testing.T) {
+	m := bbtmember.New("h0", 1, rand.New(rand.NewPCG(1, 1)))
+	hosts := []bbtfleet.Host{bbtfleet.NewHost("h0", "z"), bbtfleet.NewHost("h1", "z")}
+	now := time.Unix(100, 0)
+	m.SetHosts(now, bbtfleet.NewHostList(1, hosts))
+	m.SetPartners([]bbtfleet.HostID{"h1"})
+	var seq uint32
+	for _, a := range m.Tick(now, bbtview.Digest{}) {
+		if s, ok := a.(bbtmember.Send); ok {
+			seq = s.Message.(bbtmember.Ping).Seq
+		}
+	}
+	m.Receive(now, "h1", bbtmember.Ping{Seq: 9, Incarnation: 3}, bbtview.Digest{})
+	later := now.Add(time.Second)
+	m.Receive(later, "h1", bbtmember.Ack{Seq: seq, Incarnation: 2}, bbtview.Digest{})
+	if c := m.Contact("h1"); !c.Acked().IsZero() || !c.Heard().Equal(now) {
+		t.Errorf("got contact heard %v, acked %v, want the former process's answer left alone", c.Heard(), c.Acked())
+	}
+}
--- a/core/bbtmember/peer.go
+++ b/core/bbtmember/peer.go
@@ -14,6 +14,7 @@
 	round       uint32
 	suspected   time.Time // when the state became Suspect
 	unlisted    time.Time // when the host left the host list, zero while it is there
+	contact     Contact
 }
 
 // change returns the peer's state as a Change.
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -40,12 +40,23 @@
 		return append(actions, seen)
 	}
 	seen.Asked = pr.sent
+	m.answered(from, pr.sent, msg)
 	if pr.asker != "" {
 		actions = append(actions, Send{To: pr.asker, Message: Relayed{Seq: pr.askSeq}})
 	}
 	return append(actions, seen)
 }
 
+// answered records the answer to a Ping sent at the given time.
+func (m *Member) answered(from bbtfleet.HostID, sent time.Time, msg Ack) {
+	p := m.peers[from]
+	if p == nil || msg.Incarnation < p.incarnation || !sent.After(p.contact.acked) {
+		return
+	}
+	p.contact.acked = sent
+	p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
+}
+
 // receiveRelay probes the target for the host that asks.
 func (m *Member) receiveRelay(now time.Time, from bbtfleet.HostID, msg Relay, d bbtview.Digest) []Action {
 	target := bbtfleet.HostID(msg.Target)
@@ -68,6 +79,9 @@
 	if p == nil {
 		return nil
 	}
+	if incarnation >= p.incarnation {
+		p.contact.heard = now
+	}
 	return m.apply(now, Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive})
 }
 
--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -21,6 +21,7 @@
 	}
 	actions := m.expireProbes(now, d)
 	actions = append(actions, m.expireSuspects(now)...)
+	actions = append(actions, m.probePartners(now, d)...)
 	actions = append(actions, m.probeNeighbour(now, d)...)
 	return append(actions, m.tellEagerly(now, d)...)
 }
@@ -89,6 +90,27 @@
 	return actions
 }
 
+// probePartners probes the partners one after another, each once every
+// PartnerInterval.
+func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
+	if len(m.partners) == 0 {
+		return nil
+	}
+	step := PartnerInterval / time.Duration(len(m.partners))
+	if now.Sub(m.nextPartner) > PartnerInterval {
+		m.nextPartner = now
+	}
+	var actions []Action
+	for !now.Before(m.nextPartner) {
+		m.nextPartner = m.nextPartner.Add(step)
+		m.partner = (m.partner + 1) % len(m.partners)
+		if id := m.partners[m.partner]; m.peers[id] != nil {
+			actions = append(actions, m.ping(now, d, id))
+		}
+	}
+	return actions
+}
+
 // probeNeighbour probes the next neighbour, now and then a host believed dead.
 func (m *Member) probeNeighbour(now time.Time, d bbtview.Digest) []Action {
 	if m.nextProbe.IsZero() {
