--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -44,20 +44,22 @@
 	neighbours []bbtfleet.HostID
 	partners   []bbtfleet.HostID
 
-	probes probes
-	queue  queue
-	eager  bool      // a change has to be told at once
-	told   time.Time // when changes were last told at once
-	rounds int       // probes of neighbours so far
-	next   int       // place in neighbours of the next probe
+	probes  probes
+	queue   queue
+	eager   bool      // a change has to be told at once
+	told    time.Time // when changes were last told at once
+	rounds  int       // probes of neighbours so far
+	next    int       // place in neighbours of the next probe
+	partner int       // place in partners of the next probe
 
 	partner     int // place in partners of the next probe
 	nextPartner time.Time
 
 	reminded int // place on the ring of the host that a message spoke of last
 
-	lastTick  time.Time
-	nextProbe time.Time
+	lastTick    time.Time
+	nextProbe   time.Time
+	nextPartner time.Time
 }
 
 // New returns the Member of a host's process. A later process of the same host
@@ -84,6 +86,18 @@
 	return Dead
 }
 
+// Contact returns what is known from the exchange with the host.
+func (m *Member) Contact(id bbtfleet.HostID) Contact {
+	if p, ok := m.peers[id]; ok {
+		return p.contact
+	}
+	return Contact{}
+}
+
+// SetPartners gives the hosts whose answers the host depends on, each of which
+// is probed every PartnerInterval whatever is believed of it.
+func (m *Member) SetPartners(hosts []bbtfleet.HostID) { m.partners = slices.Clone(hosts) }
+
 // Neighbours returns the hosts that the Member probes; they must not be
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
