--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -21,13 +21,16 @@
 	}
 	actions := m.expireProbes(now, d)
 	actions = append(actions, m.expireSuspects(now)...)
+	actions = append(actions, m.probePartners(now, d)...)
 	actions = append(actions, m.probeNeighbour(now, d)...)
+	actions = append(actions, m.probePartners(now, d)...)
 	return append(actions, m.tellEagerly(now, d)...)
 }
 
 // resume forgets what ran out while the local process did not run.
 func (m *Member) resume(now time.Time) {
 	m.probes.clear()
+	m.nextPartner = now
 	for _, p := range m.peers {
 		p.suspected = now
 	}
@@ -89,6 +92,27 @@
 	return actions
 }
 
+// probePartners probes the partners one after another, each once every
+// PartnerInterval.
+func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
+	if len(m.partners) == 0 {
+		return nil
+	}
+	step := PartnerInterval / time.Duration(len(m.partners))
+	if now.Sub(m.nextPartner) > PartnerInterval {
+		m.nextPartner = now
+	}
+	var actions []Action
+	for !now.Before(m.nextPartner) {
+		m.nextPartner = m.nextPartner.Add(step)
+		m.partner = (m.partner + 1) % len(m.partners)
+		if id := m.partners[m.partner]; m.peers[id] != nil {
+			actions = append(actions, m.ping(now, d, id))
+		}
+	}
+	return actions
+}
+
 // probeNeighbour probes the next neighbour, now and then a host believed dead.
 func (m *Member) probeNeighbour(now time.Time, d bbtview.Digest) []Action {
 	if m.nextProbe.IsZero() {
@@ -111,6 +135,25 @@
 	return []Action{m.ping(now, d, m.neighbours[m.next])}
 }
 
+// probePartners probes the partners one after another, each once every
+// PartnerInterval.
+func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
+	if len(m.partners) == 0 {
+		return nil
+	}
+	step := PartnerInterval / time.Duration(len(m.partners))
+	if m.nextPartner.IsZero() {
+		m.nextPartner = now
+	}
+	var actions []Action
+	for !now.Before(m.nextPartner) {
+		m.nextPartner = m.nextPartner.Add(step)
+		m.partner = (m.partner + 1) % len(m.partners)
+		actions = append(actions, m.ping(now, d, m.partners[m.partner]))
+	}
+	return actions
+}
+
 // randomDead returns a host of the host list that is believed dead.
 func (m *Member) randomDead() (bbtfleet.HostID, bool) {
 	var dead []bbtfleet.HostID
