--- a/internal/conform/event.go
+++ b/internal/conform/event.go
@@ -20,10 +20,20 @@
 
 // Dispatched says that a request was dispatched under a permit.
 type Dispatched struct {
-	At     time.Time
-	Expiry time.Time
+	Endpoint bbtfleet.EndpointID
+	At       time.Time
+	Expiry   time.Time
 }
 
+// TakenOut says that operators took an endpoint out of service.
+type TakenOut struct {
+	Endpoint bbtfleet.EndpointID
+	At       time.Time
+}
+
+// BroughtBack says that operators brought an endpoint back.
+type BroughtBack struct{ Endpoint bbtfleet.EndpointID }
+
 // OrderAccepted says that an endpoint that checks fencing numbers accepted an
 // order of an owner. Ownership counts the acquisitions of the endpoint's
 // ownership from one.
@@ -34,4 +44,6 @@
 
 func (Permitted) event()     {}
 func (Dispatched) event()    {}
+func (TakenOut) event()      {}
+func (BroughtBack) event()   {}
 func (OrderAccepted) event() {}
--- a/internal/conform/invariant.go
+++ b/internal/conform/invariant.go
@@ -1,6 +1,11 @@
 package conform
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"github.com/cockroachdb/errors"
+)
 
 // OneGranter returns an error if an owner granted a permit while one of another
 // owner could still be used: one-granter of spec/grant.pml.
@@ -50,3 +55,24 @@
 	}
 	return nil
 }
+
+// NoneTo returns an invariant: no request is dispatched to an endpoint later
+// than within after it was taken out.
+func NoneTo(within time.Duration) func([]Event) error {
+	return func(trace []Event) error {
+		out := make(map[bbtfleet.EndpointID]time.Time)
+		for i, ev := range trace {
+			switch ev := ev.(type) {
+			case TakenOut:
+				out[ev.Endpoint] = ev.At
+			case BroughtBack:
+				delete(out, ev.Endpoint)
+			case Dispatched:
+				if at, gone := out[ev.Endpoint]; gone && ev.At.Sub(at) > within {
+					return errors.Newf("event %d: dispatched to %s %v after it was taken out", i, ev.Endpoint, ev.At.Sub(at))
+				}
+			}
+		}
+		return nil
+	}
+}
