bbtsettings, bbtdaemon: seeds, so that a host starts from peers without the platform

Cause: a host without a disk knows no peer while the host list cannot be read. A setting names some; the Keeper asks them for the view.

--- a/internal/bbtprocess/fleet.go
+++ b/internal/bbtprocess/fleet.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"bluebelltray/core/bbtconfig"
@@ -123,11 +124,25 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, id, zone, caller, peer, f.platform.Addr(),
+	text := fmt.Sprintf(settingsText, id, zone, caller, peer, f.platform.Addr(), f.seeds(id),
 		keys.Cert(), keys.Key(), keys.Authority())
 	return os.WriteFile(f.settings(id), []byte(text), 0o600)
 }
 
+// seeds returns the setting that names the hosts added before.
+func (f *Fleet) seeds(self bbtfleet.HostID) string {
+	var items []string
+	for _, r := range f.records {
+		if r.ID != string(self) {
+			items = append(items, r.ID+"@"+r.PeerAddress)
+		}
+	}
+	if len(items) == 0 {
+		return ""
+	}
+	return "seeds = " + strings.Join(items, ", ") + "\n"
+}
+
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr(network string) (string, error) {
 	if network == "udp" {
@@ -254,7 +269,7 @@
 callers = %s
 peers = %s
 platform = %s
-
+%s
 [keys]
 certificate = %s
 key = %s
--- a/internal/bbtprocess/view_test.go
+++ b/internal/bbtprocess/view_test.go
@@ -114,3 +114,14 @@
 		checkComplete(ctx, t, f, n)
 	}
 }
+
+func TestHostStartsFromPeersWithoutThePlatform(t *testing.T) {
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	f := startFleet(ctx, t)
+	f.Process("platform").Kill()
+	f.Process("host-2").Kill()
+	must(t, f.StartHost("host-2"))
+	must(t, bbtprocess.Await(ctx, "the restarted host serves", func() bool { return serves(f, 2) }))
+	checkComplete(ctx, t, f, 2)
+}
--- a/io/bbtapp/app.go
+++ b/io/bbtapp/app.go
@@ -67,7 +67,8 @@
 	}
 	daemon := bbtdaemon.New(s.Host(), s.Zone(), bbtplatform.New(s.PlatformAddr()), node,
 		bbtdaemon.WithLogger(log), bbtdaemon.WithCounters(counters),
-		bbtdaemon.WithAddressLifetime(s.AddressLifetime()))
+		bbtdaemon.WithAddressLifetime(s.AddressLifetime()),
+		bbtdaemon.WithSeeds(s.Seeds()))
 	a := &App{settings: s, log: log, daemon: daemon}
 	a.ctx, a.cut = context.WithCancel(context.Background())
 	srv := bbthttp.NewServer(daemon, counters,
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -50,6 +50,7 @@
 	counters *bbtmetric.Counters
 	platform bluebelltray.Platform
 	peers    *bbtpeer.Node
+	seeds    []bbtfleet.Host
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
 	lifetime time.Duration // of an address answer
@@ -102,6 +103,10 @@
 // WithAddressLifetime sets how long callers may keep an address answer.
 func WithAddressLifetime(t time.Duration) Option { return func(d *Daemon) { d.lifetime = t } }
 
+// WithSeeds sets the hosts that are asked for a view while the host list cannot
+// be read.
+func WithSeeds(hosts []bbtfleet.Host) Option { return func(d *Daemon) { d.seeds = hosts } }
+
 // New returns a daemon on a host of the availability zone zone. It takes no
 // requests before it has a view. It owns peers; Close ends both.
 func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
@@ -123,7 +128,6 @@
 		events:   make(chan event, eventQueue),
 		ctx:      ctx,
 		cancel:   cancel,
-		keeper:   bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
 		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
 		entry:    bbtroute.New(id, start),
 		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
@@ -139,12 +143,23 @@
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.keeper = bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse), bbtview.WithSeeds(names(d.seeds)...))
+	peers.SetHosts(d.seeds)
 	in := &inbox{daemon: d, node: peers}
 	d.done.Go(in.run)
 	d.done.Go(d.run)
 	return d
 }
 
+// names returns the names of hosts.
+func names(hosts []bbtfleet.Host) []bbtfleet.HostID {
+	ids := make([]bbtfleet.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		ids = append(ids, h.ID())
+	}
+	return ids
+}
+
 // newExecutor returns the executor of a process with a secret of its own.
 func newExecutor(id bbtfleet.HostID, inc bbtfleet.Incarnation, start time.Time) *bbtexec.Executor {
 	secret := make([]byte, secretBytes)
--- a/io/bbtsettings/parser.go
+++ b/io/bbtsettings/parser.go
@@ -120,6 +120,7 @@
 	p.settings.callerAddr, _ = bbtini.Require(s, "callers", bbtunit.ParseAddr)
 	p.settings.peerAddr, _ = bbtini.Require(s, "peers", bbtunit.ParseAddr)
 	p.settings.platformAddr, _ = bbtini.Require(s, "platform", bbtunit.ParseAddr)
+	p.settings.seeds, _ = bbtini.Optional(s, "seeds", nil, parseSeeds)
 }
 
 // keys reads the section [keys].
--- a/io/bbtsettings/settings.go
+++ b/io/bbtsettings/settings.go
@@ -29,6 +29,7 @@
 	callerAddr       string
 	peerAddr         string
 	platformAddr     string
+	seeds            []bbtfleet.Host
 	certificate      string
 	key              string
 	authority        string
