bbtroute: refusals carry the owner's retry time and the endpoint's refusal

Cause: a refusal for want of room named no time to resend after, and a request whose only endpoint refused it was reported as without room.

Mutations that failed the tests: the retry time left out; the reason cleared before the request is registered again.

--- a/core/bbtgrant/pool.go
+++ b/core/bbtgrant/pool.go
@@ -9,9 +9,8 @@
 )
 
 const (
-	sweepEvery   = 100 * time.Millisecond
-	retryNoRoom  = time.Second
-	retryEvicted = time.Second
+	sweepEvery = 100 * time.Millisecond
+	retryAfter = time.Second // for a request shed for want of room
 )
 
 // pool is the waiting room and the owned endpoints of one pool.
@@ -144,11 +143,8 @@
 
 func shed(k bbtqueue.Key, reason bbtverdict.Reason) Shed {
 	s := Shed{To: k.Host, Request: RequestID(k.Request), Reason: reason}
-	switch reason {
-	case bbtverdict.ReasonNoRoom:
-		s.RetryAfter = retryNoRoom
-	case bbtverdict.ReasonEvicted:
-		s.RetryAfter = retryEvicted
+	if reason == bbtverdict.ReasonNoRoom || reason == bbtverdict.ReasonEvicted {
+		s.RetryAfter = retryAfter
 	}
 	return s
 }
--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -55,7 +55,7 @@
 	if !e.budget.spend() {
 		return e.fail(j, v, r)
 	}
-	j.tried, j.late, j.reason, j.width = nil, 0, "", e.width
+	j.tried, j.late, j.reason, j.width = nil, 0, r, e.width
 	return e.place(now, j)
 }
 
@@ -77,7 +77,7 @@
 // fail ends a request without an answer.
 func (e *Entry) fail(j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
 	delete(e.jobs, j.ID)
-	return append(e.withdraw(j), Refuse{Request: j.ID, Err: bbtverdict.New(v, r)})
+	return append(e.withdraw(j), Refuse{Request: j.ID, Err: bbtverdict.New(v, r, bbtverdict.WithRetryAfter(j.retry))})
 }
 
 func (e *Entry) registration(now time.Time, j *job) bbtgrant.Registration {
--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -108,7 +108,7 @@
 		return nil
 	}
 	j.tried = append(j.tried, from)
-	j.reason = s.Reason
+	j.reason, j.retry = s.Reason, s.RetryAfter
 	if s.Reason == bbtverdict.ReasonDeadline {
 		j.late++
 	}
--- a/core/bbtroute/entry_test.go
+++ b/core/bbtroute/entry_test.go
@@ -203,7 +203,10 @@
 			t.Fatalf("refused after %d of %d owners shed", shed, owners)
 		}
 		shed++
-		b.take(b.entry.Shedded(b.now, h, bbtgrant.Shed{Request: 1, Reason: bbtverdict.ReasonNoRoom}))
+		b.take(b.entry.Shedded(b.now, h, bbtgrant.Shed{Request: 1, Reason: bbtverdict.ReasonNoRoom, RetryAfter: time.Second}))
+	}
+	if got, want := b.refused[0].Err.RetryAfter(), time.Second; got != want {
+		t.Errorf("retry after %v, want %v", got, want)
 	}
 	if shed != owners || len(b.refused) != 1 {
 		t.Errorf("%d owners shed, %d refusals; want %d and 1", shed, len(b.refused), owners)
@@ -279,3 +282,13 @@
 		t.Errorf("tick wanted at %v, want none for a deadline", got)
 	}
 }
+
+func TestRefusalNamesTheEndpointsAnswer(t *testing.T) {
+	b := newBench(1)
+	b.submit(bbtroute.Request{})
+	b.grant("o0", 1)
+	b.end(bbtgrant.Refused)
+	if len(b.refused) != 1 || b.refused[0].Err.Reason() != bbtverdict.ReasonEndpointRefused {
+		t.Errorf("refusals %v, want one as the only endpoint refused", b.refused)
+	}
+}
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -19,7 +19,8 @@
 	asked    []bbtfleet.HostID // owners that hold a registration
 	tried    []bbtfleet.HostID // owners that shed the request or died
 	late     int               // owners that can't meet the deadline
-	reason   bbtverdict.Reason // why the last owner shed the request
+	reason   bbtverdict.Reason // why the last owner shed the request or its dispatch failed
+	retry    time.Duration     // when to resend, as the last owner that shed it says
 	width    int               // owners to register with at once
 	widenAt  time.Time         // when to register with more owners; zero for never
 	dispatch *dispatch         // nil while the request waits
