--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -52,9 +52,6 @@
 	next    int       // place in neighbours of the next probe
 	partner int       // place in partners of the next probe
 
-	partner     int // place in partners of the next probe
-	nextPartner time.Time
-
 	reminded int // place on the ring of the host that a message spoke of last
 
 	lastTick    time.Time
@@ -102,20 +99,6 @@
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
 
-// Contact returns what is known from the exchange with the host.
-func (m *Member) Contact(id bbtfleet.HostID) Contact {
-	if p, ok := m.peers[id]; ok {
-		return p.contact
-	}
-	return Contact{}
-}
-
-// SetPartners gives the hosts whose answers the host depends on, each of which
-// is probed every PartnerInterval.
-func (m *Member) SetPartners(hosts []bbtfleet.HostID) {
-	m.partners = slices.DeleteFunc(slices.Clone(hosts), func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
-}
-
 // SetHosts gives the host list in force. What is known of a host that leaves
 // the list is kept for a while, so that old news of its former process do not
 // count against a new one.
@@ -135,7 +118,6 @@
 			m.former[id] = p
 		}
 	}
-	m.SetPartners(m.partners)
 	maps.DeleteFunc(m.former, func(_ bbtfleet.HostID, p *peer) bool { return now.Sub(p.unlisted) > formerFor })
 	return m.chooseNeighbours()
 }
--- a/core/bbtmember/peer.go
+++ b/core/bbtmember/peer.go
@@ -12,7 +12,6 @@
 	state       State
 	incarnation uint64
 	round       uint32
-	contact     Contact
 	suspected   time.Time // when the state became Suspect
 	unlisted    time.Time // when the host left the host list, zero while it is there
 	contact     Contact
--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -23,14 +23,12 @@
 	actions = append(actions, m.expireSuspects(now)...)
 	actions = append(actions, m.probePartners(now, d)...)
 	actions = append(actions, m.probeNeighbour(now, d)...)
-	actions = append(actions, m.probePartners(now, d)...)
 	return append(actions, m.tellEagerly(now, d)...)
 }
 
 // resume forgets what ran out while the local process did not run.
 func (m *Member) resume(now time.Time) {
 	m.probes.clear()
-	m.nextPartner = now
 	for _, p := range m.peers {
 		p.suspected = now
 	}
@@ -135,25 +133,6 @@
 	return []Action{m.ping(now, d, m.neighbours[m.next])}
 }
 
-// probePartners probes the partners one after another, each once every
-// PartnerInterval.
-func (m *Member) probePartners(now time.Time, d bbtview.Digest) []Action {
-	if len(m.partners) == 0 {
-		return nil
-	}
-	step := PartnerInterval / time.Duration(len(m.partners))
-	if m.nextPartner.IsZero() {
-		m.nextPartner = now
-	}
-	var actions []Action
-	for !now.Before(m.nextPartner) {
-		m.nextPartner = m.nextPartner.Add(step)
-		m.partner = (m.partner + 1) % len(m.partners)
-		actions = append(actions, m.ping(now, d, m.partners[m.partner]))
-	}
-	return actions
-}
-
 // randomDead returns a host of the host list that is believed dead.
 func (m *Member) randomDead() (bbtfleet.HostID, bool) {
 	var dead []bbtfleet.HostID
