bbtroute: a request that waits asks a third owner while others are granted quickly

After 0.1 s such a request now asks an owner by its own hash too, as long as six in ten requests of its tier are granted quickly.

Mutations that failed the test: always a third owner; never.

--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtverdict"
 )
@@ -45,11 +46,29 @@
 
 // widen registers a request that waits with more owners.
 func (e *Entry) widen(now time.Time, j *job) []Action {
-	j.width = e.width
+	if j.width < e.width {
+		j.width, j.widenAt = e.width, now.Add(e.spill)
+		e.timers.set(j.widenAt, j.ID)
+		return e.ask(now, j)
+	}
 	j.widenAt = time.Time{}
+	if e.hasteOf(j.Pool).room(j.Tier) {
+		j.width = e.width + 1
+		j.order = e.pools[j.Pool].rank(uint64(j.ID), j.Exclude)
+	}
 	return e.ask(now, j)
 }
 
+// hasteOf returns what is known of how quickly a pool's requests are granted.
+func (e *Entry) hasteOf(id bbtfleet.PoolID) *haste {
+	h := e.hastes[id]
+	if h == nil {
+		h = &haste{}
+		e.hastes[id] = h
+	}
+	return h
+}
+
 // again registers a request anew after a dispatch, within the budget.
 func (e *Entry) again(now time.Time, j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
 	if !e.budget.spend() {
--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -16,6 +16,7 @@
 const (
 	defaultWidth = 2
 	defaultHedge = 6 * time.Millisecond
+	defaultSpill = 100 * time.Millisecond
 	mostLost     = 2 // endpoints that one request may be lost with
 )
 
@@ -27,8 +28,10 @@
 	start  time.Time
 	width  int
 	hedge  time.Duration
+	spill  time.Duration
 	pools  map[bbtfleet.PoolID]*pool
 	jobs   map[bbtgrant.RequestID]*job
+	hastes map[bbtfleet.PoolID]*haste
 	timers timers
 	budget budget
 }
@@ -40,8 +43,10 @@
 		start:  start,
 		width:  defaultWidth,
 		hedge:  defaultHedge,
+		spill:  defaultSpill,
 		pools:  make(map[bbtfleet.PoolID]*pool),
 		jobs:   make(map[bbtgrant.RequestID]*job),
+		hastes: make(map[bbtfleet.PoolID]*haste),
 		budget: budget{left: budgetMost},
 	}
 	for _, opt := range opts {
@@ -71,7 +76,7 @@
 
 // Submit takes a request on.
 func (e *Entry) Submit(now time.Time, r Request) []Action {
-	j := &job{Request: r, width: 1}
+	j := &job{Request: r, width: 1, since: now}
 	e.jobs[r.ID] = j
 	e.budget.earn()
 	if !r.Deadline.IsZero() {
@@ -97,6 +102,7 @@
 		return append([]Action{back}, e.ask(now, j)...)
 	}
 	j.dispatch = &dispatch{owner: from, permit: p, start: now}
+	e.hasteOf(j.Pool).learn(j.Tier, now.Sub(j.since), e.spill)
 	out := []Action{Dispatch{Request: j.ID, Endpoint: p.Endpoint, Permit: p}}
 	return append(out, e.withdraw(j)...)
 }
--- a/core/bbtroute/entry_test.go
+++ b/core/bbtroute/entry_test.go
@@ -292,3 +292,26 @@
 		t.Errorf("refusals %v, want one as the only endpoint refused", b.refused)
 	}
 }
+
+func TestWaitsWithAThirdOwnerWhileOthersAreGrantedQuickly(t *testing.T) {
+	b := newBench(8)
+	wait := func() int {
+		b.asked = make(map[bbtfleet.HostID]bbtgrant.Registration)
+		b.submit(bbtroute.Request{Prefix: 7})
+		b.pass(10 * time.Millisecond)
+		b.pass(200 * time.Millisecond)
+		n := len(b.owners())
+		b.grant(b.owners()[0], 1)
+		b.end(bbtgrant.Finished)
+		return n
+	}
+	if got, want := wait(), 3; got != want {
+		t.Errorf("registered with %d owners after 0.2 s, want %d", got, want)
+	}
+	for range 50 {
+		wait()
+	}
+	if got, want := wait(), 2; got != want {
+		t.Errorf("registered with %d owners while all requests wait, want %d", got, want)
+	}
+}
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -15,6 +15,7 @@
 // job is the state of one request between Submit and its end.
 type job struct {
 	Request
+	since    time.Time         // when it was submitted
 	order    []bbtfleet.HostID // owners in the order to try
 	asked    []bbtfleet.HostID // owners that hold a registration
 	tried    []bbtfleet.HostID // owners that shed the request or died
--- a/internal/measure/scenario.go
+++ b/internal/measure/scenario.go
@@ -15,6 +15,7 @@
 	poisonous  = 3                // requests that crash engines
 	poisonTry  = 4                // how often their callers resend
 	slowFactor = 3.0
+	hotPrefix  = 1
 )
 
 // scenario is a load and the faults that come with it.
@@ -25,6 +26,7 @@
 	peak   float64 // offered between from and to; zero for none
 	length time.Duration
 	lag    time.Duration // of load reports
+	hot    float64       // share of the requests that have one prefix in common
 	faults func(w *world)
 }
 
@@ -46,6 +48,7 @@
 	{name: "partition", fleet: ciocche, load: 0.8, faults: partition},
 	{name: "stale", fleet: ciocche, load: 1.2, lag: staleLag},
 	{name: "crashing", fleet: ciocche, load: 0.6, faults: crashing},
+	{name: "hot-prefix", fleet: ciocche, load: 0.8, hot: 0.5},
 	{name: "ciocche", fleet: ciocche, load: 0.9},
 	{name: "clyde", fleet: clyde, load: 0.9},
 	{name: "slice", fleet: slice, load: 0.9, length: sliceTime},
@@ -131,6 +134,9 @@
 // draw makes a request of the class that arrives now.
 func (w *world) draw(k class) *request {
 	r := k.draw(w.traffic)
+	if w.spec.hot > 0 && w.traffic.Float64() < w.spec.hot {
+		r.prefix = hotPrefix
+	}
 	w.drawn++
 	r.id = w.drawn
 	r.arrived, r.deadline = w.now, w.now.Add(k.deadline)
