--- a/core/bbtexec/event.go
+++ b/core/bbtexec/event.go
@@ -24,6 +24,7 @@
 	Key         string // the caller's idempotency key; empty if none
 	Fingerprint uint64 // digest of account, path and body
 	First       bool   // the caller states that it presented no ticket of this request before
+	Uncounted   bool   // the caller does not count its attempts; it never says First
 	Repeatable  bool   // the contract allows the call to be repeated
 }
 
@@ -41,6 +42,13 @@
 	Message Message
 }
 
+// PeerSeen tells the incarnation of a peer's process, as learnt from it or from
+// other peers.
+type PeerSeen struct {
+	Host        bbtfleet.HostID
+	Incarnation bbtfleet.Incarnation
+}
+
 // PeerLost says that the connection to a peer ended or fell silent: no reply
 // to an earlier message will come.
 type PeerLost struct{ Host bbtfleet.HostID }
@@ -92,6 +100,7 @@
 func (Submit) event()        {}
 func (Received) event()      {}
 func (SendFailed) event()    {}
+func (PeerSeen) event()      {}
 func (PeerLost) event()      {}
 func (NotSent) event()       {}
 func (Finished) event()      {}
--- a/core/bbtexec/peer.go
+++ b/core/bbtexec/peer.go
@@ -6,15 +6,29 @@
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbthome"
 	"bluebelltray/core/bbtledger"
 	"bluebelltray/core/bbtverdict"
 )
 
+// peerSeen remembers the newest process of a peer and ends the calls that wait
+// for a former one.
+func (e *Executor) peerSeen(now time.Time, ev PeerSeen) {
+	if ev.Incarnation <= e.peers[ev.Host] {
+		return
+	}
+	known := e.peers[ev.Host] != 0
+	e.peers[ev.Host] = ev.Incarnation
+	if known {
+		e.peerLost(now, ev.Host)
+	}
+}
+
 // received takes a peer's message.
 func (e *Executor) received(now time.Time, ev Received) {
 	switch m := ev.Message.(type) {
 	case IssueRequest:
-		r := e.issueKeyed(now, m.Account, m.Key, m.First)
+		r := e.issueKeyed(now, bbthome.NewKey(m.Account, m.Key), m.Claim)
 		r.Request = m.Request
 		e.do(Send{To: ev.From, Message: r})
 	case IssueReply:
@@ -35,7 +49,6 @@
 		account:     m.Account,
 		ticket:      m.Ticket,
 		fingerprint: m.Fingerprint,
-		first:       m.First,
 		origin:      origin{host: ev.From, request: m.Request},
 	}
 	e.calls[c.id] = c
@@ -65,15 +78,20 @@
 }
 
 // issueReplied goes on with a call by its home's reply. A ticket that took too
-// long is not handed out: its home may no longer be the key's home.
+// long is not handed out: its home may no longer be the key's home. A first
+// attempt that the home has no ticket for, as it drains or is full, gets one
+// from this host.
 func (e *Executor) issueReplied(now time.Time, from bbtfleet.HostID, m IssueReply) {
 	c := e.take(from, m.Request)
 	if c == nil {
 		return
 	}
-	if now.Sub(c.asked) >= IssueTimeout {
+	late := now.Sub(c.asked) >= IssueTimeout
+	if late {
 		e.counts.staleReplies++
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+	}
+	if late || c.first && m.Ticket == "" {
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 		return
 	}
 	e.settle(now, c, m)
@@ -97,57 +115,6 @@
 	})
 }
 
-// sendFailed ends the call of a message that did not leave.
-func (e *Executor) sendFailed(ev SendFailed) {
-	switch m := ev.Message.(type) {
-	case IssueRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonHomeUnreachable)
-	case ForwardRequest:
-		e.unreached(m.Request.ID, bbtverdict.ReasonExecutorGone)
-	}
-}
-
-// unreached ends the call of a message that reached nobody.
-func (e *Executor) unreached(id uint64, r bbtverdict.Reason) {
-	p, ok := e.pending[id]
-	if !ok {
-		return
-	}
-	delete(e.pending, id)
-	if c := e.calls[p.call]; c != nil {
-		e.refuse(c, notReached(c.first, r))
-	}
-}
-
-// peerLost ends the calls whose reply will not come.
-func (e *Executor) peerLost(h bbtfleet.HostID) {
-	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
-		p := e.pending[id]
-		if p.to != h {
-			continue
-		}
-		delete(e.pending, id)
-		c := e.calls[p.call]
-		switch {
-		case c == nil:
-		case c.ticket == "":
-			e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
-		default:
-			e.refuse(c, mayHaveRun(bbtverdict.ReasonExecutorGone))
-		}
-	}
-	e.originLost(h)
-}
-
-// originLost forgets the calls that a lost peer passed on.
-func (e *Executor) originLost(h bbtfleet.HostID) {
-	for _, id := range slices.Sorted(maps.Keys(e.calls)) {
-		if c := e.calls[id]; c != nil && c.origin.host == h {
-			e.callerGone(id)
-		}
-	}
-}
-
 // withdraw forgets a call that waits for a peer and tells the peer.
 func (e *Executor) withdraw(c *call) {
 	delete(e.calls, c.id)
@@ -164,8 +131,11 @@
 	}
 }
 
-// tick expires what is over.
+// tick expires what is over and sends held replies again.
 func (e *Executor) tick(now time.Time) {
+	for _, s := range e.unsent.take(now) {
+		e.do(s)
+	}
 	e.ledger.Expire(now)
 	e.home.Expire(now)
 	for _, id := range slices.Sorted(maps.Keys(e.pending)) {
@@ -174,6 +144,6 @@
 			continue
 		}
 		delete(e.pending, id)
-		e.refuse(c, notReached(c.first, bbtverdict.ReasonHomeUnreachable))
+		e.homeless(now, c, bbtverdict.ReasonHomeUnreachable)
 	}
 }
--- a/core/bbtlimit/meter.go
+++ b/core/bbtlimit/meter.go
@@ -17,7 +17,7 @@
 const unit credit = 1000
 
 // demandTime is the time over which demand is averaged, in seconds.
-const demandTime = 1.0
+const demandTime = 4.0
 
 // meter accounts for one of an account's rates on one host. The own part of the
 // rate fills a bucket of golang.org/x/time/rate, which works on given times.
@@ -26,6 +26,7 @@
 type meter struct {
 	whole   bbtfleet.Rate // the contract's, for all hosts together
 	own     *rate.Limiter // nil while the contract sets no limit
+	most    float64       // units of the burst of all homes that can be reached
 	granted credit
 	expires time.Time
 	debt    credit
@@ -33,16 +34,19 @@
 	counted time.Time
 }
 
-// set takes the contract's rate and this host's part of it into force.
-func (m *meter) set(now time.Time, whole bbtfleet.Rate, part float64) {
+// set takes the contract's rate into force: the part of all homes that can be
+// reached, and this host's own part. A host that becomes home starts with the
+// burst of its part.
+func (m *meter) set(now time.Time, whole bbtfleet.Rate, reached, part float64) {
 	m.whole = whole
+	m.most = whole.Burst() * reached
 	if whole.PerSecond() == 0 {
 		m.own, m.debt = nil, 0
 		return
 	}
 	perSecond := rate.Limit(whole.PerSecond() * part * float64(unit))
 	burst := int(whole.Burst() * part * float64(unit))
-	if m.own == nil {
+	if m.own == nil || m.own.Burst() == 0 {
 		m.own = rate.NewLimiter(perSecond, burst)
 		return
 	}
@@ -71,9 +75,9 @@
 }
 
 // cost returns the credit that must be at hand to admit n units. A request
-// larger than the whole burst needs the whole burst and leaves debt.
+// larger than the burst of all homes needs that burst and leaves debt.
 func (m *meter) cost(n float64) credit {
-	return credit(min(n, m.whole.Burst()) * float64(unit))
+	return credit(min(n, m.most) * float64(unit))
 }
 
 // missing returns the credit that is lacking to admit n units.
@@ -122,32 +126,42 @@
 	m.expires = now.Add(Hold)
 }
 
-// lend takes up to asked credit out of the own part for another host. Where
-// both hosts are short, each gets its part of the credit by its demand.
-func (m *meter) lend(now time.Time, asked credit) credit {
+// spare returns the own credit that another host may get.
+func (m *meter) spare(now time.Time) credit { return max(0, m.filled(now)-m.debt) }
+
+// spares reports whether another host may get the needed credit.
+func (m *meter) spares(now time.Time, needed credit) bool {
+	return needed == 0 || m.limited() && m.spare(now) >= needed
+}
+
+// lend takes the needed credit, and up to asked, out of the own part for
+// another host. Where both hosts are short of what is beyond the need, each
+// gets its part of it by its demand.
+func (m *meter) lend(now time.Time, asked, needed credit) credit {
 	if !m.limited() {
 		return 0
 	}
-	free := max(0, m.filled(now)-m.debt)
+	spare := m.spare(now) - needed
+	more := asked - needed
 	own := credit(m.demandAt(now) * Hold.Seconds() * float64(unit))
-	if asked+own > free {
-		free = credit(float64(free) * float64(asked) / float64(asked+own))
+	if more+own > spare {
+		spare = credit(float64(spare) * float64(more) / float64(more+own))
 	}
-	lent := min(asked, free)
+	lent := needed + min(more, spare)
 	m.own.AllowN(now, int(lent))
 	return lent
 }
 
-// want returns the credit to ask other hosts for: what is missing now and what
-// the demand will need beyond the own part while the credit can be held.
-func (m *meter) want(now time.Time, n float64) credit {
+// ahead returns the credit, beyond what is at hand, that n units now and the
+// demand while granted credit can be held need.
+func (m *meter) ahead(now time.Time, n float64) credit {
 	if !m.limited() {
 		return 0
 	}
 	hold := Hold.Seconds()
-	ahead := credit(min(m.demandAt(now), m.whole.PerSecond()) * hold * float64(unit))
+	demand := credit(min(m.demandAt(now), m.whole.PerSecond()) * hold * float64(unit))
 	own := credit(float64(m.own.Limit()) * hold)
-	return max(m.missing(now, n), ahead-own-m.available(now))
+	return m.cost(n) + demand - own - m.available(now)
 }
 
 // count adds n requested units to the demand.
--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -1,6 +1,7 @@
 package bbtmember
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -19,9 +20,12 @@
 	PauseGap        = time.Second             // gap between ticks that is taken for a pause
 )
 
+// formerFor is how long a host that has left the host list is remembered.
+const formerFor = 10 * time.Minute
+
 const (
 	relayHosts    = 3  // hosts asked to probe for another
-	eagerHosts    = 3  // hosts told of a change at once
+	eagerHosts    = 5  // hosts told of a change at once
 	deadProbeRate = 10 // one probe in so many goes to a host believed dead
 )
 
@@ -36,15 +40,19 @@
 
 	ring       ring
 	peers      map[bbtfleet.HostID]*peer
+	former     map[bbtfleet.HostID]*peer // that have left the host list
 	neighbours []bbtfleet.HostID
 	partners   []bbtfleet.HostID
 
 	probes  probes
 	queue   queue
-	eager   bool // a change has to be told at once
-	rounds  int  // probes of neighbours so far
-	next    int  // place in neighbours of the next probe
-	partner int  // place in partners of the next probe
+	eager   bool      // a change has to be told at once
+	told    time.Time // when changes were last told at once
+	rounds  int       // probes of neighbours so far
+	next    int       // place in neighbours of the next probe
+	partner int       // place in partners of the next probe
+
+	reminded int // place on the ring of the host that a message spoke of last
 
 	lastTick    time.Time
 	nextProbe   time.Time
@@ -59,6 +67,7 @@
 		incarnation: uint64(incarnation),
 		rng:         rng,
 		peers:       make(map[bbtfleet.HostID]*peer),
+		former:      make(map[bbtfleet.HostID]*peer),
 	}
 }
 
@@ -82,11 +91,17 @@
 	return Contact{}
 }
 
+// SetPartners gives the hosts whose answers the host depends on, each of which
+// is probed every PartnerInterval whatever is believed of it.
+func (m *Member) SetPartners(hosts []bbtfleet.HostID) { m.partners = slices.Clone(hosts) }
+
 // Neighbours returns the hosts that the Member probes; they must not be
 // changed.
 func (m *Member) Neighbours() []bbtfleet.HostID { return m.neighbours }
 
-// SetHosts gives the host list in force.
+// SetHosts gives the host list in force. What is known of a host that leaves
+// the list is kept for a while, so that old news of its former process do not
+// count against a new one.
 func (m *Member) SetHosts(now time.Time, list bbtfleet.HostList) []Action {
 	m.ring = newRing(list.Hosts())
 	old := m.peers
@@ -95,20 +110,28 @@
 		if h.ID() == m.self {
 			continue
 		}
-		p, ok := old[h.ID()]
-		if !ok {
-			p = &peer{id: h.ID(), contact: Contact{heard: now}}
+		m.peers[h.ID()] = m.known(h.ID(), old)
+	}
+	for id, p := range old {
+		if m.peers[id] == nil {
+			p.unlisted = now
+			m.former[id] = p
 		}
-		m.peers[h.ID()] = p
 	}
-	m.partners = slices.DeleteFunc(m.partners, func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
+	maps.DeleteFunc(m.former, func(_ bbtfleet.HostID, p *peer) bool { return now.Sub(p.unlisted) > formerFor })
 	return m.chooseNeighbours()
 }
 
-// SetPartners gives the hosts whose answers the host depends on, each of which
-// is probed every PartnerInterval.
-func (m *Member) SetPartners(hosts []bbtfleet.HostID) {
-	m.partners = slices.DeleteFunc(slices.Clone(hosts), func(id bbtfleet.HostID) bool { return m.peers[id] == nil })
+// known returns what is known of a listed host.
+func (m *Member) known(id bbtfleet.HostID, listed map[bbtfleet.HostID]*peer) *peer {
+	if p, ok := listed[id]; ok {
+		return p
+	}
+	if p, ok := m.former[id]; ok {
+		delete(m.former, id)
+		return p
+	}
+	return &peer{id: id}
 }
 
 // Leave makes the host known as leaving. There is no way back but a new
--- a/core/bbtmember/peer.go
+++ b/core/bbtmember/peer.go
@@ -13,6 +13,7 @@
 	incarnation uint64
 	round       uint32
 	suspected   time.Time // when the state became Suspect
+	unlisted    time.Time // when the host left the host list, zero while it is there
 	contact     Contact
 }
 
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -40,16 +40,23 @@
 		return append(actions, seen)
 	}
 	seen.Asked = pr.sent
-	if p := m.peers[from]; p != nil && pr.sent.After(p.contact.acked) {
-		p.contact.acked = pr.sent
-		p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
-	}
+	m.answered(from, pr.sent, msg)
 	if pr.asker != "" {
 		actions = append(actions, Send{To: pr.asker, Message: Relayed{Seq: pr.askSeq}})
 	}
 	return append(actions, seen)
 }
 
+// answered records the answer to a Ping sent at the given time.
+func (m *Member) answered(from bbtfleet.HostID, sent time.Time, msg Ack) {
+	p := m.peers[from]
+	if p == nil || msg.Incarnation < p.incarnation || !sent.After(p.contact.acked) {
+		return
+	}
+	p.contact.acked = sent
+	p.contact.list = bbtfleet.Revision(msg.Digest.Hosts)
+}
+
 // receiveRelay probes the target for the host that asks.
 func (m *Member) receiveRelay(now time.Time, from bbtfleet.HostID, msg Relay, d bbtview.Digest) []Action {
 	target := bbtfleet.HostID(msg.Target)
@@ -72,13 +79,8 @@
 	if p == nil {
 		return nil
 	}
-	if incarnation < p.incarnation {
-		return nil
-	}
-	p.contact.heard = now
-	p.contact.incarnation = bbtfleet.Incarnation(incarnation)
-	if incarnation == p.incarnation && round <= p.round {
-		return nil
+	if incarnation >= p.incarnation {
+		p.contact.heard = now
 	}
 	return m.apply(now, Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive})
 }
@@ -113,7 +115,7 @@
 		return nil
 	}
 	before := p.state
-	first := p.incarnation == 0 && c.State == Alive
+	first := p.incarnation == 0 && before == Alive && c.State == Alive
 	p.incarnation, p.round, p.state = c.Incarnation, c.Round, c.State
 	if first {
 		return nil
--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -30,7 +30,6 @@
 func (m *Member) resume(now time.Time) {
 	m.probes.clear()
 	for _, p := range m.peers {
-		p.contact.heard = now
 		p.suspected = now
 	}
 }
@@ -70,7 +69,6 @@
 	}
 	p.state = Suspect
 	p.suspected = now
-	m.queue.add(p.change())
 	return []Action{Changed{Host: id, State: Suspect}, m.ping(now, d, id)}
 }
 
@@ -99,14 +97,16 @@
 		return nil
 	}
 	step := PartnerInterval / time.Duration(len(m.partners))
-	if m.nextPartner.IsZero() {
+	if now.Sub(m.nextPartner) > PartnerInterval {
 		m.nextPartner = now
 	}
 	var actions []Action
 	for !now.Before(m.nextPartner) {
 		m.nextPartner = m.nextPartner.Add(step)
 		m.partner = (m.partner + 1) % len(m.partners)
-		actions = append(actions, m.ping(now, d, m.partners[m.partner]))
+		if id := m.partners[m.partner]; m.peers[id] != nil {
+			actions = append(actions, m.ping(now, d, id))
+		}
 	}
 	return actions
 }
@@ -126,14 +126,11 @@
 			return []Action{m.ping(now, d, id)}
 		}
 	}
-	for range m.neighbours {
-		m.next = (m.next + 1) % len(m.neighbours)
-		id := m.neighbours[m.next]
-		if !slices.Contains(m.partners, id) {
-			return []Action{m.ping(now, d, id)}
-		}
+	if len(m.neighbours) == 0 {
+		return nil
 	}
-	return nil
+	m.next = (m.next + 1) % len(m.neighbours)
+	return []Action{m.ping(now, d, m.neighbours[m.next])}
 }
 
 // randomDead returns a host of the host list that is believed dead.
@@ -150,12 +147,14 @@
 	return dead[m.rng.IntN(len(dead))], true
 }
 
-// tellEagerly sends new changes to some neighbours.
+// tellEagerly sends new changes to some neighbours, less often while there are
+// many.
 func (m *Member) tellEagerly(now time.Time, d bbtview.Digest) []Action {
-	if !m.eager {
+	if !m.eager || m.queue.long() && now.Sub(m.told) < ProbeInterval {
 		return nil
 	}
 	m.eager = false
+	m.told = now
 	var actions []Action
 	for _, id := range m.sample(eagerHosts, "") {
 		actions = append(actions, m.ping(now, d, id))
@@ -182,7 +181,7 @@
 	changes := m.queue.next()
 	p := m.peers[id]
 	if p == nil || p.state == Alive || p.state == Leaving {
-		return changes
+		return m.remind(changes)
 	}
 	if len(changes) == MaxChanges {
 		changes = changes[:MaxChanges-1]
@@ -190,6 +189,22 @@
 	return append(changes, p.change())
 }
 
+// remind fills an empty message with a host that is not alive, a different one
+// each time, so that no host misses its state for good.
+func (m *Member) remind(changes []Change) []Change {
+	if len(changes) > 0 {
+		return changes
+	}
+	for range m.ring.points {
+		m.reminded = (m.reminded + 1) % len(m.ring.points)
+		p := m.peers[m.ring.points[m.reminded].id]
+		if p != nil && p.state >= Leaving {
+			return []Change{p.change()}
+		}
+	}
+	return nil
+}
+
 // sample returns up to n neighbours other than not, in random order.
 func (m *Member) sample(n int, not bbtfleet.HostID) []bbtfleet.HostID {
 	var out []bbtfleet.HostID
--- a/internal/bbtdemo/fleet.go
+++ b/internal/bbtdemo/fleet.go
@@ -25,8 +25,9 @@
 const (
 	hostCount       = 4
 	enginesPerSpeed = 2
-	fastToken       = 2 * time.Millisecond
-	slowToken       = 4 * time.Millisecond
+	fastToken       = 6 * time.Millisecond
+	slowToken       = 12 * time.Millisecond
+	servedBefore    = 1000
 	engineSlots     = 4
 	serviceDelay    = 5 * time.Millisecond
 	authorityLife   = time.Hour
@@ -96,7 +97,7 @@
 func (f *Fleet) startEndpoints() error {
 	for i, token := range [...]time.Duration{fastToken, slowToken} {
 		speed := bbtstandin.DefaultEngineSpeed()
-		speed.Slots, speed.BetweenTokens = engineSlots, token
+		speed.Slots, speed.BetweenTokens, speed.Served = engineSlots, token, servedBefore
 		for n := range enginesPerSpeed {
 			id := bbtfleet.EndpointID(fmt.Sprintf("engine-%d-%d", i, n))
 			err := f.endpoint(id, n, bbtfleet.ModelEngine, poolModel, bbtstandin.NewEngine(speed, true))
@@ -212,6 +213,18 @@
 	return seeds
 }
 
+// Hosts returns the number of entry hosts.
+func (f *Fleet) Hosts() int { return len(f.apps) }
+
+// Count returns the sum of a counter over all hosts.
+func (f *Fleet) Count(name string) int64 {
+	var n int64
+	for _, app := range f.apps {
+		n += app.Daemon().Counters().Get(name)
+	}
+	return n
+}
+
 // Ready waits until every host serves or ctx ends.
 func (f *Fleet) Ready(ctx context.Context) error {
 	ticks := time.NewTicker(50 * time.Millisecond)
--- a/internal/bbtprocess/fleet.go
+++ b/internal/bbtprocess/fleet.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"bluebelltray/core/bbtconfig"
@@ -123,11 +124,25 @@
 	if err != nil {
 		return err
 	}
-	text := fmt.Sprintf(settingsText, id, zone, caller, peer, f.platform.Addr(),
+	text := fmt.Sprintf(settingsText, id, zone, caller, peer, f.platform.Addr(), f.seeds(id),
 		keys.Cert(), keys.Key(), keys.Authority())
 	return os.WriteFile(f.settings(id), []byte(text), 0o600)
 }
 
+// seeds returns the setting that names the hosts added before.
+func (f *Fleet) seeds(self bbtfleet.HostID) string {
+	var items []string
+	for _, r := range f.records {
+		if r.ID != string(self) {
+			items = append(items, r.ID+"@"+r.PeerAddress)
+		}
+	}
+	if len(items) == 0 {
+		return ""
+	}
+	return "seeds = " + strings.Join(items, ", ") + "\n"
+}
+
 // freeAddr returns a loopback address that was free a moment ago.
 func freeAddr(network string) (string, error) {
 	if network == "udp" {
@@ -158,7 +173,12 @@
 // Publish publishes the next revision of the configuration.
 func (f *Fleet) Publish(zones []bbtfleet.Zone, contracts []bbtfleet.Contract) error {
 	f.revision++
-	manifest, parts := bbtconfig.Publish(f.revision, bbtfleet.NewConfiguration(bbtfleet.Version{},
+	return f.PublishRevision(f.revision, zones, contracts)
+}
+
+// PublishRevision publishes the configuration under a revision.
+func (f *Fleet) PublishRevision(r bbtfleet.Revision, zones []bbtfleet.Zone, contracts []bbtfleet.Contract) error {
+	manifest, parts := bbtconfig.Publish(r, bbtfleet.NewConfiguration(bbtfleet.Version{},
 		bbtfleet.WithZones(zones...),
 		bbtfleet.WithEndpoints(f.endpoints...),
 		bbtfleet.WithContracts(contracts...)))
@@ -170,6 +190,17 @@
 	return f.put("/control/values/"+bbtconfig.ManifestKey, manifest)
 }
 
+// RestartPlatform starts an empty platform at the address of the one that was
+// killed.
+func (f *Fleet) RestartPlatform() error {
+	p, err := startStandin(f.log, f.binaries.standin, "platform", "--listen="+f.platform.Addr())
+	if err != nil {
+		return err
+	}
+	f.platform, f.processes["platform"] = p, p
+	return nil
+}
+
 // put sends data to a control page of the platform.
 func (f *Fleet) put(path string, data []byte) error {
 	return Put(f.platform.Addr(), path, data)
@@ -238,7 +269,7 @@
 callers = %s
 peers = %s
 platform = %s
-
+%s
 [keys]
 certificate = %s
 key = %s
--- /dev/null
+++ b/io/bbtdaemon/claim.go
@@ -0,0 +1,122 @@
+package bbtdaemon
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtsuspect"
+	"bluebelltray/core/bbtverdict"
+)
+
+// claim is a job that waits for leave of its request's guard.
+type claim struct {
+	job      *job
+	contract bbtfleet.Contract
+}
+
+// stepAgent passes an event to the agent that holds crashing requests back,
+// and carries out what it asks for.
+func (d *Daemon) stepAgent(now time.Time, ev bbtsuspect.Event) {
+	for _, a := range d.agent.Step(now, ev) {
+		switch a := a.(type) {
+		case bbtsuspect.Admit:
+			d.claimAdmitted(now, a)
+		case bbtsuspect.Refuse:
+			d.claimRefused(now, a.Call)
+		case bbtsuspect.Send:
+			d.tell(a.To, a.Message)
+		}
+	}
+}
+
+// claim asks whether a job's request may be dispatched.
+func (d *Daemon) claim(now time.Time, j *job, contract bbtfleet.Contract) {
+	d.lastClaim++
+	j.claim = d.lastClaim
+	d.claims[j.claim] = &claim{job: j, contract: contract}
+	fingerprint := bbtsuspect.Of(j.req.Account(), j.req.Path(), j.req.Body())
+	d.stepAgent(now, bbtsuspect.Ask{Call: j.claim, Fingerprint: fingerprint})
+}
+
+// claimAdmitted schedules a job that may be dispatched.
+func (d *Daemon) claimAdmitted(now time.Time, a bbtsuspect.Admit) {
+	c := d.claims[a.Call]
+	if c == nil {
+		return
+	}
+	delete(d.claims, a.Call)
+	if c.job.ctx.Err() != nil {
+		d.release(now, c.job, false)
+		return
+	}
+	c.job.alone = a.Treatment == bbtsuspect.Alone
+	d.schedule(now, c.job, c.contract)
+}
+
+// claimRefused refuses a job whose request crashes endpoints.
+func (d *Daemon) claimRefused(now time.Time, id bbtsuspect.CallID) {
+	c := d.claims[id]
+	if c == nil {
+		return
+	}
+	delete(d.claims, id)
+	c.job.claim = 0
+	err := bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonSuspect,
+		bbtverdict.WithRetryAfter(bbtsuspect.SuspicionTime))
+	switch {
+	case c.job.call != nil:
+		d.rejectCall(now, c.job, err)
+	case c.job.crashes > 0:
+		d.settle(now, c.job, 0)
+		c.job.refuse(c.job.last)
+	default:
+		d.settle(now, c.job, 0)
+		c.job.refuse(err)
+	}
+}
+
+// release ends a job's claim; whole says that it got its whole answer.
+func (d *Daemon) release(now time.Time, j *job, whole bool) {
+	if j.claim == 0 {
+		return
+	}
+	delete(d.claims, j.claim)
+	d.stepAgent(now, bbtsuspect.End{Call: j.claim, Whole: whole})
+	j.claim = 0
+}
+
+// crashed reports the death of the endpoint that a job was dispatched to.
+func (d *Daemon) crashed(now time.Time, j *job) {
+	d.counters.Add("crashes-suspected", 1)
+	d.stepAgent(now, bbtsuspect.Died{Crash: j.target})
+	j.claim = 0
+}
+
+// conclude settles what a dispatch that has ended was charged and suspected
+// for.
+func (d *Daemon) conclude(now time.Time, j *job, ev finished) {
+	if ev.crashed {
+		d.crashed(now, j)
+	}
+	if ev.started || ev.outcome.Kind == bbtgrant.Cancelled {
+		d.settle(now, j, ev.outcome.Output)
+		d.release(now, j, ev.outcome.Kind == bbtgrant.Finished)
+	}
+}
+
+// claimRepeat asks anew before a request is repeated that may have taken an
+// endpoint down.
+func (d *Daemon) claimRepeat(now time.Time, j *job) {
+	contract, ok := d.config.Contract(j.req.Account())
+	delete(d.jobs, j.id)
+	d.doEntry(now, d.entry.Cancel(now, j.id))
+	if !ok || j.crashes >= contract.Repeats(j.req.Pool()) {
+		d.settle(now, j, 0)
+		j.refuse(j.last)
+		return
+	}
+	j.crashes++
+	d.counters.Retried(bbtverdict.ReasonEndpointLost)
+	d.claim(now, j, contract)
+}
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -4,16 +4,23 @@
 
 import (
 	"context"
+	crand "crypto/rand"
 	"math/rand/v2"
 	"sync"
 	"time"
 
 	"bluebelltray"
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbthome"
+	"bluebelltray/core/bbtledger"
+	"bluebelltray/core/bbtlimit"
 	"bluebelltray/core/bbtmember"
 	"bluebelltray/core/bbtowner"
 	"bluebelltray/core/bbtroute"
+	"bluebelltray/core/bbtsuspect"
+	"bluebelltray/core/bbtticket"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbthttp"
 	"bluebelltray/io/bbtmetric"
@@ -26,6 +33,9 @@
 const (
 	eventQueue      = 4096
 	tickPeriod      = 50 * time.Millisecond
+	execPeriod      = time.Second
+	secretBytes     = 32
+	agentPeriod     = 200 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
 	loadTimeout     = time.Second
 	defaultLifetime = 30 * time.Second
@@ -40,6 +50,7 @@
 	counters *bbtmetric.Counters
 	platform bluebelltray.Platform
 	peers    *bbtpeer.Node
+	seeds    []bbtfleet.Host
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
 	lifetime time.Duration // of an address answer
@@ -48,20 +59,33 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	keeper  *bbtview.Keeper
-	member  *bbtmember.Member
-	entry   *bbtroute.Entry
-	owner   *bbtgrant.Owner
-	config  *bbtfleet.Configuration
-	hosts   bbtfleet.HostList
-	places  *bbtowner.Map // over all hosts of the list
-	callers *bbtowner.Map // over the hosts that callers may be sent to
-	leaving bool
-	jobs    map[bbtgrant.RequestID]*job
-	lastID  bbtgrant.RequestID
-	local   []bbtgrant.Message
-	pollers map[bbtfleet.EndpointID]*poller
-	asking  *bbtpeer.Exchange // of the peer's question at hand
+	keeper     *bbtview.Keeper
+	member     *bbtmember.Member
+	entry      *bbtroute.Entry
+	owner      *bbtgrant.Owner
+	config     *bbtfleet.Configuration
+	hosts      bbtfleet.HostList
+	places     *bbtowner.Map // over all hosts of the list
+	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	ranked     []ranked
+	placed     time.Time // since when the host list has been in force
+	placedList bbtfleet.Revision
+	leaving    bool
+	jobs       map[bbtgrant.RequestID]*job
+	lastID     bbtgrant.RequestID
+	exec       *bbtexec.Executor
+	calls      map[bbtexec.CallID]*call
+	lastCall   bbtexec.CallID
+	limiter    *bbtlimit.Limiter
+	held       map[bbtfleet.AccountID][]held
+	agent      *bbtsuspect.Agent
+	claims     map[bbtsuspect.CallID]*claim
+	lastClaim  bbtsuspect.CallID
+	asked      time.Time // when the agent was told the time last
+	second     time.Time // when the executor was told the time last
+	local      []any
+	pollers    map[bbtfleet.EndpointID]*poller
+	asking     *bbtpeer.Exchange // of the peer's question at hand
 }
 
 // Option sets an optional part of a Daemon.
@@ -79,6 +103,10 @@
 // WithAddressLifetime sets how long callers may keep an address answer.
 func WithAddressLifetime(t time.Duration) Option { return func(d *Daemon) { d.lifetime = t } }
 
+// WithSeeds sets the hosts that are asked for a view while the host list cannot
+// be read.
+func WithSeeds(hosts []bbtfleet.Host) Option { return func(d *Daemon) { d.seeds = hosts } }
+
 // New returns a daemon on a host of the availability zone zone. It takes no
 // requests before it has a view. It owns peers; Close ends both.
 func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
@@ -100,22 +128,45 @@
 		events:   make(chan event, eventQueue),
 		ctx:      ctx,
 		cancel:   cancel,
-		keeper:   bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse)),
 		member:   bbtmember.New(id, bbtfleet.Incarnation(incarnation), rng),
 		entry:    bbtroute.New(id, start),
 		owner:    bbtgrant.New(bbtgrant.WithFirstPermit(bbtgrant.PermitID(incarnation))),
+		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
+		calls:    make(map[bbtexec.CallID]*call),
+		limiter:  bbtlimit.New(id),
+		held:     make(map[bbtfleet.AccountID][]held),
+		agent:    bbtsuspect.NewAgent(id, bbtfleet.Incarnation(incarnation), keyHome),
+		claims:   make(map[bbtsuspect.CallID]*claim),
 		jobs:     make(map[bbtgrant.RequestID]*job),
 		pollers:  make(map[bbtfleet.EndpointID]*poller),
 	}
 	for _, opt := range opts {
 		opt(d)
 	}
+	d.keeper = bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse), bbtview.WithSeeds(names(d.seeds)...))
+	peers.SetHosts(d.seeds)
 	in := &inbox{daemon: d, node: peers}
 	d.done.Go(in.run)
 	d.done.Go(d.run)
 	return d
 }
 
+// names returns the names of hosts.
+func names(hosts []bbtfleet.Host) []bbtfleet.HostID {
+	ids := make([]bbtfleet.HostID, 0, len(hosts))
+	for _, h := range hosts {
+		ids = append(ids, h.ID())
+	}
+	return ids
+}
+
+// newExecutor returns the executor of a process with a secret of its own.
+func newExecutor(id bbtfleet.HostID, inc bbtfleet.Incarnation, start time.Time) *bbtexec.Executor {
+	secret := make([]byte, secretBytes)
+	_, _ = crand.Read(secret) // never fails
+	return bbtexec.New(bbtticket.NewIssuer(id, inc, start, secret), bbtledger.NewLedger(), bbthome.New(id, keyHome))
+}
+
 // Counters returns the daemon's metrics.
 func (d *Daemon) Counters() *bbtmetric.Counters { return d.counters }
 
@@ -151,9 +202,21 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	d.own(now, false)
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
+	if now.Sub(d.second) >= execPeriod {
+		d.second = now
+		d.step(now, bbtexec.Tick{})
+		d.pruneCalls()
+		d.limiter.Tick(now)
+	}
+	d.resumeDue(now)
+	if now.Sub(d.asked) >= agentPeriod {
+		d.asked = now
+		d.stepAgent(now, bbtsuspect.Tick{})
+	}
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
--- a/io/bbtdaemon/event.go
+++ b/io/bbtdaemon/event.go
@@ -17,7 +17,7 @@
 type submitted struct{ job *job }
 
 // cancelled says that a request's caller has left.
-type cancelled struct{ id bbtgrant.RequestID }
+type cancelled struct{ job *job }
 
 // firstToken says that the first bytes of an answer arrived.
 type firstToken struct{ id bbtgrant.RequestID }
@@ -27,6 +27,7 @@
 	id      bbtgrant.RequestID
 	outcome bbtroute.Outcome
 	started bool // the caller has the head of the answer
+	crashed bool // the endpoint broke the connection off
 }
 
 // received is a message from a peer.
@@ -52,18 +53,25 @@
 
 func (ev submitted) apply(d *Daemon, now time.Time) { d.submit(now, ev.job) }
 
-func (ev cancelled) apply(d *Daemon, now time.Time) { d.cancelJob(now, ev.id) }
+func (ev cancelled) apply(d *Daemon, now time.Time) { d.cancelJob(now, ev.job) }
 
 func (ev firstToken) apply(d *Daemon, now time.Time) {
 	d.doEntry(now, d.entry.FirstToken(now, ev.id))
 }
 
 func (ev finished) apply(d *Daemon, now time.Time) {
+	j := d.jobs[ev.id]
+	if j != nil {
+		d.conclude(now, j, ev)
+	}
 	d.doEntry(now, d.entry.Finished(now, ev.id, ev.outcome))
 	if ev.started {
 		delete(d.jobs, ev.id)
 		d.doEntry(now, d.entry.Cancel(now, ev.id))
 	}
+	if ev.crashed && d.jobs[ev.id] != nil {
+		d.claimRepeat(now, j)
+	}
 }
 
 func (ev received) apply(d *Daemon, now time.Time) { d.receive(now, ev.from, ev.msg) }
--- a/io/bbtdaemon/job.go
+++ b/io/bbtdaemon/job.go
@@ -5,15 +5,23 @@
 
 	"bluebelltray"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtverdict"
 )
 
 // job is one request that a caller waits for.
 type job struct {
 	ctx        context.Context // ends when the caller leaves
+	cancel     func()          // ends ctx; nil for a caller's own
+	call       *call           // of a request that runs at most once; otherwise nil
 	req        bluebelltray.Request
 	id         bbtgrant.RequestID
 	result     chan result
+	admitted   bool              // the account was charged
+	claim      bbtsuspect.CallID // in force at the request's guard; zero if none
+	alone      bool              // runs on an endpoint without other suspects
+	target     bbtsuspect.Crash  // the endpoint of the last dispatch, as a crash would name it
+	crashes    int               // dispatches that may have taken an endpoint down
 	dispatched bool              // a dispatch is under way
 	last       *bbtverdict.Error // how the latest dispatch failed
 }
--- a/io/bbtdaemon/wire.go
+++ b/io/bbtdaemon/wire.go
@@ -1,8 +1,11 @@
 package bbtdaemon
 
 import (
+	"bluebelltray/core/bbtexec"
 	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtlimit"
 	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtsuspect"
 	"bluebelltray/core/bbtview"
 	"bluebelltray/io/bbtpeer"
 )
@@ -24,5 +27,15 @@
 		bbtmember.Ack{},
 		bbtmember.Relay{},
 		bbtmember.Relayed{},
+		Forward{},
+		bbtexec.ForwardReply{},
+		bbtexec.ForwardCancel{},
+		bbtexec.IssueRequest{},
+		bbtexec.IssueReply{},
+		bbtlimit.Message{},
+		bbtsuspect.Claim{},
+		bbtsuspect.Grant{},
+		bbtsuspect.Release{},
+		bbtsuspect.Notice{},
 	)
 }
