--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -83,14 +83,24 @@
 	return Dead
 }
 
-// Contact returns what is known from the exchange with the host.
+// Contact returns what is known from the exchange with the host, also for a
+// while after it has left the host list.
 func (m *Member) Contact(id bbtfleet.HostID) Contact {
-	if p, ok := m.peers[id]; ok {
+	if p := m.find(id); p != nil {
 		return p.contact
 	}
 	return Contact{}
 }
 
+// find returns what is known of a host that is or was in the host list, nil if
+// nothing.
+func (m *Member) find(id bbtfleet.HostID) *peer {
+	if p, ok := m.peers[id]; ok {
+		return p
+	}
+	return m.former[id]
+}
+
 // SetPartners gives the hosts whose answers the host depends on, each of which
 // is probed every PartnerInterval whatever is believed of it.
 func (m *Member) SetPartners(hosts []bbtfleet.HostID) { m.partners = slices.Clone(hosts) }
--- a/core/bbtmember/member_test.go
+++ b/core/bbtmember/member_test.go
@@ -312,3 +312,15 @@
 		t.Errorf("got contact heard %v, acked %v, want the former process's answer left alone", c.Heard(), c.Acked())
 	}
 }
+
+func TestContactOutlivesTheHostList(t *testing.T) {
+	f := newFleet(8)
+	m := f.members[0]
+	m.SetPartners([]bbtfleet.HostID{"h1"})
+	m.SetHosts(f.now, bbtfleet.NewHostList(2, []bbtfleet.Host{bbtfleet.NewHost("h0", "edin-a"), bbtfleet.NewHost("h2", "edin-a")}))
+	dropped := f.now
+	f.run(2 * bbtmember.PartnerInterval)
+	if c := m.Contact("h1"); !c.Heard().After(dropped) || !c.Acked().After(dropped) {
+		t.Errorf("got contact heard %v, acked %v, want both after the host left the list at %v", c.Heard(), c.Acked(), dropped)
+	}
+}
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -49,7 +49,7 @@
 
 // answered records the answer to a Ping sent at the given time.
 func (m *Member) answered(from bbtfleet.HostID, sent time.Time, msg Ack) {
-	p := m.peers[from]
+	p := m.find(from)
 	if p == nil || msg.Incarnation < p.incarnation || !sent.After(p.contact.acked) {
 		return
 	}
@@ -75,7 +75,7 @@
 // heard records a message that came straight from the host, which proves that
 // its process runs.
 func (m *Member) heard(now time.Time, from bbtfleet.HostID, incarnation uint64, round uint32) []Action {
-	p := m.peers[from]
+	p := m.find(from)
 	if p == nil {
 		return nil
 	}
--- a/core/bbtmember/tick.go
+++ b/core/bbtmember/tick.go
@@ -104,7 +104,7 @@
 	for !now.Before(m.nextPartner) {
 		m.nextPartner = m.nextPartner.Add(step)
 		m.partner = (m.partner + 1) % len(m.partners)
-		if id := m.partners[m.partner]; m.peers[id] != nil {
+		if id := m.partners[m.partner]; m.find(id) != nil {
 			actions = append(actions, m.ping(now, d, id))
 		}
 	}
