bbtowner: shares of an endpoint by rank in place of electors

Dropped: an owner elected by a majority of three electors.

Instead each rank has a share of the slots by Map.Right, and the best rank has those of the ranks that answer its probes.

Right: a host that has left gives up its share only as long as its process answers; a new one may use it again. Electors is renamed to RankCount.

fleetrun checks at each tick that the rights of all hosts to an endpoint, a paused one's included, add up to no more than its slots; the check of one owner is gone with the owner. After all faults the rights have to be the slots.

--- a/core/bbtowner/example_test.go
+++ b/core/bbtowner/example_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"time"
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtowner"
@@ -22,25 +20,3 @@
 	fmt.Println(len(m.Ranks("llm-1")), m.Addresses("kerb-desk"))
 	// Output: 2 [10.0.0.1:8080]
 }
-
-func ExampleElector() {
-	cfg := bbtfleet.NewConfiguration(bbtfleet.NewVersion(7, 1),
-		bbtfleet.WithEndpoints(bbtfleet.NewEndpoint("llm-1", "edin-a", bbtfleet.ModelEngine, "summary")))
-	list := bbtfleet.NewHostList(3, []bbtfleet.Host{bbtfleet.NewHost("entry-1", "edin-a")})
-	now := time.Unix(0, 0)
-	e := bbtowner.NewElector("entry-1", now, rand.New(rand.NewPCG(1, 1)))
-	e.SetMap(now, bbtowner.NewMap(cfg, list))
-	for range 30 { // a single host needs nobody else's vote
-		now = now.Add(bbtowner.TickInterval)
-		for _, a := range e.Tick(now) {
-			if a, ok := a.(bbtowner.Acquired); ok {
-				fmt.Println(a.Endpoint, "after", now.Sub(time.Unix(0, 0)))
-			}
-		}
-	}
-	fence, ok := e.Fence(now, "llm-1")
-	fmt.Println(ok, fence.Epoch())
-	// Output:
-	// llm-1 after 5s
-	// true 1
-}
--- a/core/bbtowner/fence.go
+++ b/core/bbtowner/fence.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 
+	"bluebelltray/core/bbtfleet"
 	"github.com/cockroachdb/errors"
 )
 
@@ -10,7 +11,7 @@
 const (
 	configBits = 22 // configuration revision
 	listBits   = 22 // host list revision
-	epochBits  = 16 // changes of the owner under these revisions
+	epochBits  = 16 // raised by an owner that is outranked under these revisions
 	rankBits   = 4  // rank in hash order
 )
 
@@ -18,7 +19,7 @@
 var ErrFenceRange = errors.New("fence does not fit a fencing number")
 
 // Fence orders the successive owners of an endpoint: by published revisions,
-// then by the epoch that electors agree on, then by rank in hash order.
+// then by an epoch that owners raise, then by rank in hash order.
 type Fence struct {
 	view  View
 	epoch uint32
@@ -28,15 +29,26 @@
 // NewFence returns the fence of the owner of the given rank.
 func NewFence(v View, epoch uint32, rank int) Fence { return Fence{view: v, epoch: epoch, rank: rank} }
 
-// Epoch returns the number of the ownership.
+// ParseFence returns the fence of a number that Number has returned.
+func ParseFence(number uint64) Fence {
+	return Fence{
+		view: NewView(
+			bbtfleet.Revision(number>>(listBits+epochBits+rankBits)),
+			bbtfleet.Revision(number>>(epochBits+rankBits)&(1<<listBits-1))),
+		epoch: uint32(number >> rankBits & (1<<epochBits - 1)),
+		rank:  int(number&(1<<rankBits-1)) - 1,
+	}
+}
+
+// Epoch returns the epoch.
 func (f Fence) Epoch() uint32 { return f.epoch }
 
 // Compare returns a number below, equal to or above zero as f comes before,
 // with or after other.
 func (f Fence) Compare(other Fence) int {
 	return cmp.Or(
-		cmp.Compare(f.view.Config, other.view.Config),
-		cmp.Compare(f.view.List, other.view.List),
+		cmp.Compare(f.view.config, other.view.config),
+		cmp.Compare(f.view.list, other.view.list),
 		cmp.Compare(f.epoch, other.epoch),
 		cmp.Compare(f.rank, other.rank),
 	)
@@ -45,11 +57,11 @@
 // Number returns the fence as one number of the same order, which is never
 // zero. It returns ErrFenceRange if a part is too large.
 func (f Fence) Number() (uint64, error) {
-	if f.view.Config >= 1<<configBits || f.view.List >= 1<<listBits || f.epoch >= 1<<epochBits || f.rank >= 1<<rankBits-1 {
+	if f.view.config >= 1<<configBits || f.view.list >= 1<<listBits || f.epoch >= 1<<epochBits || f.rank >= 1<<rankBits-1 {
 		return 0, ErrFenceRange
 	}
-	n := f.view.Config
-	n = n<<listBits | f.view.List
+	n := uint64(f.view.config)
+	n = n<<listBits | uint64(f.view.list)
 	n = n<<epochBits | uint64(f.epoch)
 	return n<<rankBits | uint64(f.rank+1), nil
 }
--- a/core/bbtowner/map.go
+++ b/core/bbtowner/map.go
@@ -8,9 +8,9 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Electors is the number of hosts that may own an endpoint under one view: the
+// RankCount is the number of hosts that may use an endpoint under one view: the
 // owner and its successors.
-const Electors = 3
+const RankCount = 3
 
 // accountHomes is the number of home hosts of a client account.
 const accountHomes = 2
@@ -24,7 +24,6 @@
 	config  *bbtfleet.Configuration
 	list    bbtfleet.Revision
 	hosts   []bucket
-	known   map[bbtfleet.HostID]bool // live and leaving hosts
 	zones   map[bbtfleet.ZoneID][]bucket
 	regions map[string][]bucket
 	ranks   map[bbtfleet.EndpointID][]bbtfleet.HostID
@@ -39,13 +38,11 @@
 	m := &Map{
 		config:  cfg,
 		list:    list.Revision(),
-		known:   make(map[bbtfleet.HostID]bool, len(list.Hosts())),
 		zones:   make(map[bbtfleet.ZoneID][]bucket),
 		regions: make(map[string][]bucket),
 		ranks:   make(map[bbtfleet.EndpointID][]bbtfleet.HostID),
 	}
 	for _, h := range list.Hosts() {
-		m.known[h.ID()] = true
 		if h.State() == bbtfleet.HostLive {
 			m.hosts = append(m.hosts, bucket{host: h, hash: xxhash.Sum64String(string(h.ID()))})
 		}
@@ -158,10 +155,10 @@
 func (m *Map) rank(id bbtfleet.EndpointID, zone bbtfleet.ZoneID) []bbtfleet.HostID {
 	key := endpointHash(id)
 	ranks := m.best(m.zones[zone], key, nil)
-	if len(ranks) < Electors {
+	if len(ranks) < RankCount {
 		ranks = m.best(m.regions[m.regionOf(zone)], key, ranks)
 	}
-	if len(ranks) < Electors {
+	if len(ranks) < RankCount {
 		ranks = m.best(m.hosts, key, ranks)
 	}
 	return ranks
@@ -169,7 +166,7 @@
 
 // best fills ranks up with those of the hosts that are best for the key.
 func (m *Map) best(hosts []bucket, key uint64, ranks []bbtfleet.HostID) []bbtfleet.HostID {
-	best := newRanking(Electors - len(ranks))
+	best := newRanking(RankCount - len(ranks))
 	for _, b := range hosts {
 		if !slices.Contains(ranks, b.host.ID()) {
 			best.offer(b, b.score(key))
@@ -184,15 +181,6 @@
 	return z.Region()
 }
 
-// listed reports whether the host is in the host list, live or leaving.
-func (m *Map) listed(id bbtfleet.HostID) bool { return m.known[id] }
-
-// has reports whether the configuration has the endpoint.
-func (m *Map) has(id bbtfleet.EndpointID) bool {
-	_, ok := m.config.Endpoint(id)
-	return ok
-}
-
 // zoneOut reports whether operators have taken the zone out.
 func (m *Map) zoneOut(id bbtfleet.ZoneID) bool {
 	z, _ := m.config.Zone(id)
--- a/core/bbtowner/map_test.go
+++ b/core/bbtowner/map_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-func TestElectorsAreInTheEndpointsZone(t *testing.T) {
+func TestRanksAreInTheEndpointsZone(t *testing.T) {
 	m := fleetMap(fleetHosts, "", all)
 	zone := make(map[bbtfleet.HostID]bbtfleet.ZoneID)
 	for _, h := range hosts(fleetHosts, all) {
@@ -78,13 +78,13 @@
 	owners := make(map[bbtfleet.HostID]int)
 	for _, ep := range m.Configuration().Endpoints() {
 		r := m.Ranks(ep.ID())
-		if len(r) != bbtowner.Electors {
-			t.Fatalf("got %d electors, want %d", len(r), bbtowner.Electors)
+		if len(r) != bbtowner.RankCount {
+			t.Fatalf("got %d ranks, want %d", len(r), bbtowner.RankCount)
 		}
 		owners[r[0]]++
 		for _, id := range r {
 			if zone[id] != ep.Zone() {
-				t.Errorf("%s of %s: got elector %s of %s", ep.ID(), ep.Zone(), id, zone[id])
+				t.Errorf("%s of %s: got rank %s of %s", ep.ID(), ep.Zone(), id, zone[id])
 			}
 		}
 	}
@@ -93,7 +93,7 @@
 	}
 }
 
-func TestElectorsAreInTheEndpointsRegion(t *testing.T) {
+func TestRanksAreInTheEndpointsRegion(t *testing.T) {
 	var eps []bbtfleet.Endpoint
 	for i := range 20 {
 		id := bbtfleet.EndpointID(fmt.Sprintf("llm-%d", i))
@@ -114,13 +114,13 @@
 	for _, ep := range eps {
 		for _, id := range m.Ranks(ep.ID()) {
 			if zone[id] != "zone-0" && zone[id] != "zone-1" {
-				t.Errorf("%s: got elector %s of %s, want one of the region", ep.ID(), id, zone[id])
+				t.Errorf("%s: got rank %s of %s, want one of the region", ep.ID(), id, zone[id])
 			}
 		}
 	}
 	few := bbtowner.NewMap(cfg, bbtfleet.NewHostList(2, list[1:4]))
-	if got := len(few.Ranks("llm-0")); got != bbtowner.Electors {
-		t.Errorf("got %d electors, want %d from the other region too", got, bbtowner.Electors)
+	if got := len(few.Ranks("llm-0")); got != bbtowner.RankCount {
+		t.Errorf("got %d ranks, want %d from the other region too", got, bbtowner.RankCount)
 	}
 }
 
@@ -191,10 +191,9 @@
 		}
 	}
 	fence := rapid.Custom(func(t *rapid.T) bbtowner.Fence {
-		v := bbtowner.View{
-			Config: rapid.SampledFrom([]uint64{0, 1, 1<<22 - 1}).Draw(t, "config"),
-			List:   rapid.SampledFrom([]uint64{0, 1, 1<<22 - 1}).Draw(t, "list"),
-		}
+		revisions := []bbtfleet.Revision{0, 1, 1<<22 - 1}
+		v := bbtowner.NewView(
+			rapid.SampledFrom(revisions).Draw(t, "config"), rapid.SampledFrom(revisions).Draw(t, "list"))
 		epoch := rapid.SampledFrom([]uint32{0, 1, 1<<16 - 1}).Draw(t, "epoch")
 		return bbtowner.NewFence(v, epoch, rapid.IntRange(0, 2).Draw(t, "rank"))
 	})
@@ -208,8 +207,11 @@
 		if got, want := na < nb, a.Compare(b) < 0; got != want || na == 0 {
 			t.Fatalf("got %d < %d = %v, want %v", na, nb, got, want)
 		}
+		if got := bbtowner.ParseFence(na); got != a {
+			t.Fatalf("got %v from the number of %v", got, a)
+		}
 	})
-	if _, err := bbtowner.NewFence(bbtowner.View{Config: 1 << 22}, 0, 0).Number(); err == nil {
+	if _, err := bbtowner.NewFence(bbtowner.NewView(1<<22, 0), 0, 0).Number(); err == nil {
 		t.Error("got a number for a revision that does not fit")
 	}
 }
--- a/core/bbtowner/right.go
+++ b/core/bbtowner/right.go
@@ -9,6 +9,9 @@
 
 // Periods of the rights of an endpoint's ranks.
 const (
+	// GrantFor is the longest life of what a host grants under a right.
+	GrantFor = time.Second
+
 	// YieldFor is how long the answer to a probe proves that a worse rank
 	// leaves the endpoint alone, from the sending of the probe.
 	YieldFor = 3 * time.Second
@@ -53,7 +56,7 @@
 		return 0
 	}
 	right := share(e.Slots(), len(ranks), rank)
-	if !allGone(ranks[:rank], contacts) {
+	if !allLeft(now, ranks[:rank], contacts) {
 		return right
 	}
 	for i, host := range ranks {
@@ -64,10 +67,10 @@
 	return right
 }
 
-// allGone reports whether all hosts said they leave.
-func allGone(hosts []bbtfleet.HostID, contacts Contacts) bool {
+// allLeft reports whether all hosts have left.
+func allLeft(now time.Time, hosts []bbtfleet.HostID, contacts Contacts) bool {
 	for _, host := range hosts {
-		if !contacts(host).gone {
+		if !contacts(host).left(now) {
 			return false
 		}
 	}
@@ -91,9 +94,13 @@
 
 // yields reports whether a rank leaves its share to the best one.
 func yields(now time.Time, c Contact) bool {
-	return c.gone || c.same && now.Sub(c.acked) < YieldFor
+	return c.left(now) || c.same && now.Sub(c.acked) < YieldFor
 }
 
+// left reports whether the host has left and, as its former process has just
+// answered, no new process of it uses the endpoint yet.
+func (c Contact) left(now time.Time) bool { return c.gone && now.Sub(c.acked) < YieldFor }
+
 // share returns the part of the slots that belongs to a rank. The shares of
 // all ranks add up to the slots, the better ranks' being the larger ones.
 func share(slots, ranks, rank int) int { return (slots + ranks - 1 - rank) / ranks }
--- a/core/bbtowner/right_test.go
+++ b/core/bbtowner/right_test.go
@@ -156,8 +156,10 @@
 	ranks := s.m.Ranks("e")
 	now := s.start.Add(time.Minute)
 	lately := NewContact(now, now.Add(-time.Second), true, false)
+	other := NewContact(now, now.Add(-time.Second), false, false)
 	silent := NewContact(now.Add(-StepIn), now.Add(-StepIn), true, false)
 	gone := NewContact(now, now, true, true)
+	exited := NewContact(now.Add(-YieldFor), now.Add(-YieldFor), true, true)
 	tests := []struct {
 		name     string
 		rank     int
@@ -166,10 +168,13 @@
 	}{
 		{"first, all answer", 0, map[bbtfleet.HostID]Contact{ranks[1]: lately, ranks[2]: lately}, 9},
 		{"first, one silent", 0, map[bbtfleet.HostID]Contact{ranks[1]: silent, ranks[2]: lately}, 6},
+		{"first, one under another list", 0, map[bbtfleet.HostID]Contact{ranks[1]: other, ranks[2]: lately}, 6},
 		{"first, cut off", 0, map[bbtfleet.HostID]Contact{ranks[1]: silent, ranks[2]: silent}, 3},
 		{"second, first heard", 1, map[bbtfleet.HostID]Contact{ranks[0]: lately, ranks[2]: lately}, 0},
 		{"second, first silent", 1, map[bbtfleet.HostID]Contact{ranks[0]: silent, ranks[2]: lately}, 3},
 		{"second, first leaves", 1, map[bbtfleet.HostID]Contact{ranks[0]: gone, ranks[2]: lately}, 9},
+		{"second, first left and may be back", 1, map[bbtfleet.HostID]Contact{ranks[0]: exited, ranks[2]: lately}, 3},
+		{"first, second left and may be back", 0, map[bbtfleet.HostID]Contact{ranks[1]: exited, ranks[2]: lately}, 6},
 		{"third, second heard", 2, map[bbtfleet.HostID]Contact{ranks[0]: silent, ranks[1]: lately}, 0},
 		{"third, all silent", 2, map[bbtfleet.HostID]Contact{ranks[0]: silent, ranks[1]: silent}, 3},
 	}
--- a/internal/fleetrun/checks.go
+++ b/internal/fleetrun/checks.go
@@ -2,13 +2,10 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtmember"
-	"bluebelltray/core/bbtowner"
 )
 
 // checks watches what must always hold.
@@ -16,9 +13,8 @@
 	violations  []string
 	floor       map[bbtfleet.HostID]bbtfleet.Version // that a starting host may not serve below
 	last        map[bbtfleet.HostID]bbtfleet.Version // in force in the host's process
-	owners      map[bbtfleet.EndpointID]map[bbtfleet.HostID]bool
-	unowned     map[bbtfleet.EndpointID]time.Duration
-	longest     time.Duration // longest time that an endpoint had no owner
+	idle        map[bbtfleet.EndpointID]time.Duration
+	longest     time.Duration // longest time that no host had a right to an endpoint
 	falseAlarms int           // hosts declared dead that run and can be reached
 	detected    func(by *host, of bbtfleet.HostID)
 	arrived     func(h *host)
@@ -30,8 +26,7 @@
 	return &checks{
 		floor:    make(map[bbtfleet.HostID]bbtfleet.Version),
 		last:     make(map[bbtfleet.HostID]bbtfleet.Version),
-		owners:   make(map[bbtfleet.EndpointID]map[bbtfleet.HostID]bool),
-		unowned:  make(map[bbtfleet.EndpointID]time.Duration),
+		idle:     make(map[bbtfleet.EndpointID]time.Duration),
 		detected: func(*host, bbtfleet.HostID) {},
 		arrived:  func(*host) {},
 		serving:  func(*host) {},
@@ -59,13 +54,6 @@
 	delete(c.last, h.id)
 }
 
-// stopped forgets a process.
-func (c *checks) stopped(h *host) {
-	for _, hosts := range c.owners {
-		delete(hosts, h.id)
-	}
-}
-
 // served checks that a host does not begin to serve with an older view than all
 // others had when it started.
 func (c *checks) served(h *host) {
@@ -112,52 +100,36 @@
 	return n
 }
 
-// acquired checks that the endpoint has no other owner.
-func (c *checks) acquired(h *host, a bbtowner.Acquired) {
-	if c.owners[a.Endpoint] == nil {
-		c.owners[a.Endpoint] = make(map[bbtfleet.HostID]bool)
-	}
-	c.owners[a.Endpoint][h.id] = true
-	c.alone(h, a.Endpoint)
-}
-
-// lost notes the end of an ownership.
-func (c *checks) lost(h *host, a bbtowner.Lost) { delete(c.owners[a.Endpoint], h.id) }
-
-// ticked checks the endpoints that the host owns.
-func (c *checks) ticked(h *host) {
-	for id, hosts := range c.owners {
-		if hosts[h.id] && len(hosts) > 1 {
-			c.alone(h, id)
+// sample checks the rights to all endpoints and adds a period to the time that
+// they have none.
+func (c *checks) sample(w *world, period time.Duration) {
+	sums := make(map[bbtfleet.EndpointID]int)
+	for _, h := range w.up() {
+		for _, id := range h.rights.Endpoints(w.now) {
+			sums[id] += h.slots(id)
 		}
 	}
-}
-
-// alone checks that no other host owns the endpoint while h does.
-func (c *checks) alone(h *host, id bbtfleet.EndpointID) {
-	w := h.world
-	if !h.elector.Holds(w.now, id) {
-		return
-	}
-	for _, other := range slices.Sorted(maps.Keys(c.owners[id])) {
-		if other != h.id && w.byID[other].elector.Holds(w.now, id) {
-			c.violate(w, "%s and %s own %s", h.id, other, id)
+	for _, e := range w.endpoints {
+		sum := sums[e.ID()]
+		if sum > e.Slots() {
+			c.exceeded(w, e, sum)
+		}
+		if sum > 0 {
+			c.idle[e.ID()] = 0
+			continue
 		}
+		c.idle[e.ID()] += period
+		c.longest = max(c.longest, c.idle[e.ID()])
 	}
 }
 
-// sample adds a period to the time that endpoints have no owner.
-func (c *checks) sample(w *world, period time.Duration) {
-	for _, ep := range w.endpoints {
-		owned := false
-		for id := range c.owners[ep.ID()] {
-			owned = owned || w.byID[id].elector.Holds(w.now, ep.ID())
-		}
-		if owned {
-			c.unowned[ep.ID()] = 0
-			continue
+// exceeded records rights to more than an endpoint's slots.
+func (c *checks) exceeded(w *world, e bbtfleet.Endpoint, sum int) {
+	var who []string
+	for _, h := range w.up() {
+		if n := h.slots(e.ID()); n > 0 {
+			who = append(who, fmt.Sprintf("%s %d under list %d", h.id, n, h.keeper.Hosts().Revision()))
 		}
-		c.unowned[ep.ID()] += period
-		c.longest = max(c.longest, c.unowned[ep.ID()])
 	}
+	c.violate(w, "%s has %d slots, rights to %d: %v", e.ID(), e.Slots(), sum, who)
 }
--- a/internal/fleetrun/fault_test.go
+++ b/internal/fleetrun/fault_test.go
@@ -118,7 +118,7 @@
 	w := newWorld(settings{Hosts: n, Endpoints: 2 * n, Contracts: 3, Zones: min(n, 3), Seed: seed})
 	w.loss = 0.01
 	start(w)
-	w.run(settleTime)
+	w.watch(settleTime)
 	return w
 }
 
@@ -131,7 +131,7 @@
 			w.at(faultTime-at[i], mend)
 		})
 	}
-	w.run(faultTime + healTime)
+	w.watch(faultTime + healTime)
 	for _, h := range w.up() {
 		if got, want := h.keeper.Version(), w.hosts[0].keeper.Version(); got != want {
 			w.checks.violate(w, "%s has %v, %s has %v", h.id, got, w.hosts[0].id, want)
@@ -143,9 +143,13 @@
 			w.checks.violate(w, "%s has no fresh view", h.id)
 		}
 	}
-	for _, ep := range w.endpoints {
-		if n := len(w.checks.owners[ep.ID()]); n != 1 {
-			w.checks.violate(w, "%s has %d owners", ep.ID(), n)
+	for _, e := range w.endpoints {
+		sum := 0
+		for _, h := range w.up() {
+			sum += h.slots(e.ID())
+		}
+		if sum != e.Slots() {
+			w.checks.violate(w, "%s has %d slots, rights to %d", e.ID(), e.Slots(), sum)
 		}
 	}
 	return w.checks.violations
--- a/internal/fleetrun/host.go
+++ b/internal/fleetrun/host.go
@@ -32,7 +32,7 @@
 	frozen      time.Time // until then the process does not run
 	keeper      *bbtview.Keeper
 	member      *bbtmember.Member
-	elector     *bbtowner.Elector
+	rights      *bbtowner.Rights
 	cpu         time.Duration
 	bytes       int
 }
@@ -47,13 +47,12 @@
 // start starts a process of the host, in place of one that runs.
 func (h *host) start() {
 	h.stop()
-	now := h.world.now
 	h.incarnation++
 	h.running = true
 	h.frozen = time.Time{}
 	h.keeper = bbtview.New(h.id, h.zone, h.rng, bbtview.WithParsers(parseManifest, h.parse))
 	h.member = bbtmember.New(h.id, bbtfleet.Incarnation(h.incarnation), h.rng)
-	h.elector = bbtowner.NewElector(h.id, now, h.rng)
+	h.rights = bbtowner.NewRights(h.id)
 	h.world.checks.started(h)
 	h.measured(func(now time.Time) { h.doView(now, h.keeper.Start(now)) })
 	h.tick(h.incarnation, time.Duration(h.rng.Int64N(int64(tickInterval))))
@@ -62,7 +61,6 @@
 // stop kills the host's process.
 func (h *host) stop() {
 	h.running = false
-	h.world.checks.stopped(h)
 }
 
 // tick calls the state machines every tickInterval, first after d.
@@ -78,9 +76,8 @@
 		h.measured(func(now time.Time) {
 			h.doMember(now, h.member.Tick(now, h.keeper.Digest(now)))
 			h.doView(now, h.keeper.Tick(now))
-			h.doOwner(now, h.elector.Tick(now))
+			h.member.SetPartners(h.rights.Partners(now, h.contact))
 		})
-		h.world.checks.ticked(h)
 		h.tick(run, tickInterval)
 	})
 }
@@ -156,8 +153,6 @@
 		h.doView(now, h.keeper.PeerAnswered(now, env.asked, env.from, msg))
 	case bbtmember.Message:
 		h.doMember(now, h.member.Receive(now, env.from, msg, h.keeper.Digest(now)))
-	case bbtowner.Message:
-		h.doOwner(now, h.elector.Receive(now, env.from, msg))
 	}
 }
 
@@ -203,11 +198,10 @@
 	}
 }
 
-// place gives the Elector the placement of the view, once that is complete.
+// place gives Rights the placement of the view, once the host serves.
 func (h *host) place(now time.Time) {
 	if h.keeper.Serving() {
-		m := bbtowner.NewMap(h.keeper.Configuration(), h.keeper.Hosts())
-		h.doOwner(now, h.elector.SetMap(now, m))
+		h.rights.SetMap(now, bbtowner.NewMap(h.keeper.Configuration(), h.keeper.Hosts()))
 	}
 }
 
@@ -218,7 +212,6 @@
 		case bbtmember.Send:
 			h.send(a.To, a.Message, now)
 		case bbtmember.DigestSeen:
-			h.elector.Seen(a.Host, bbtowner.View{Config: a.Digest.Revision, List: a.Digest.Hosts})
 			h.doView(now, h.keeper.PeerDigest(now, a.Asked, a.Host, a.Digest))
 		case bbtmember.Neighbours:
 			h.keeper.SetNeighbours(a.Hosts)
@@ -230,18 +223,20 @@
 	}
 }
 
-// doOwner carries out the Elector's actions.
-func (h *host) doOwner(now time.Time, actions []bbtowner.Action) {
-	for _, a := range actions {
-		switch a := a.(type) {
-		case bbtowner.Send:
-			h.send(a.To, a.Message, now)
-		case bbtowner.Acquired:
-			h.world.checks.acquired(h, a)
-		case bbtowner.Lost:
-			h.world.checks.lost(h, a)
-		}
+// contact returns what the host knows of another one.
+func (h *host) contact(id bbtfleet.HostID) bbtowner.Contact {
+	c := h.member.Contact(id)
+	same := c.List() == h.keeper.Hosts().Revision()
+	return bbtowner.NewContact(c.Heard(), c.Acked(), same, h.member.State(id) == bbtmember.Leaving)
+}
+
+// slots returns how many of the endpoint's slots the host fills at most now. A
+// paused process goes by what it knew.
+func (h *host) slots(id bbtfleet.EndpointID) int {
+	if !h.running || !h.keeper.Fresh(h.world.now) {
+		return 0
 	}
+	return h.rights.Slots(h.world.now, id, h.contact)
 }
 
 // parseManifest reads a manifest.
--- a/internal/fleetrun/scenario.go
+++ b/internal/fleetrun/scenario.go
@@ -12,7 +12,7 @@
 	convergeLimit = 10 * time.Second // within which a change is in force everywhere
 	readLimit     = 2000             // calls a second that the platform bears
 	byteLimit     = 4096             // bytes a second that a daemon spends in a steady state
-	samplePeriod  = time.Second
+	samplePeriod  = tickInterval
 )
 
 // scenario is a course of events with its length.
@@ -50,13 +50,18 @@
 		h.cpu = 0
 	}
 	sc.begin(w)
-	for range sc.length / samplePeriod {
+	w.watch(sc.length)
+	w.bound(sc)
+	return w.stats.row(w, sc.name)
+}
+
+// watch advances the time by d and checks the rights at every tick.
+func (w *world) watch(d time.Duration) {
+	for range d / samplePeriod {
 		w.run(samplePeriod)
 		w.checks.sample(w, samplePeriod)
 		w.stats.watches = max(w.stats.watches, len(w.platform.watches))
 	}
-	w.bound(sc)
-	return w.stats.row(w, sc.name)
 }
 
 // bound checks the scenario's limits.
