bbtdaemon: a draining host waits for peers to learn and for all its requests

Cause: the model of a shutdown (drain-peers-forgotten) names a caller that a peer sends to the host just before it learns of the drain; and requests that wait for leave, for credit or with the executor were not counted. The host now serves for the address lifetime and 3 s more.

--- a/internal/bbtdemo/fleet.go
+++ b/internal/bbtdemo/fleet.go
@@ -32,7 +32,7 @@
 	serviceDelay    = 5 * time.Millisecond
 	authorityLife   = time.Hour
 	addressLifetime = 2 * time.Second
-	drainTime       = 5 * time.Second
+	drainTime       = 7 * time.Second
 	loopback        = "127.0.0.1:0"
 
 	poolModel   bbtfleet.PoolID = "summary"
@@ -241,13 +241,27 @@
 	return nil
 }
 
+// stopper drains one entry host.
+type stopper struct {
+	app *bbtapp.App
+	log *zap.Logger
+}
+
+// run returns when the host has drained.
+func (s *stopper) run() {
+	if err := s.app.Stop(); err != nil {
+		s.log.Error("stop", zap.Error(err))
+	}
+}
+
 // Stop drains the hosts, all at once, and then ends the rest.
 func (f *Fleet) Stop() {
+	var stopped sync.WaitGroup
 	for _, app := range f.apps {
-		if err := app.Stop(); err != nil {
-			f.log.Error("stop", zap.Error(err))
-		}
+		s := &stopper{app: app, log: f.log}
+		stopped.Go(s.run)
 	}
+	stopped.Wait()
 	for _, s := range f.servers {
 		s.Close()
 	}
--- a/internal/bbtprocess/fleet.go
+++ b/internal/bbtprocess/fleet.go
@@ -280,5 +280,5 @@
 
 [limits]
 address-lifetime = 2s
-drain-time = 10s
+drain-time = 20s
 `
--- a/io/bbtdaemon/drain.go
+++ b/io/bbtdaemon/drain.go
@@ -10,18 +10,25 @@
 	"bluebelltray/core/bbtowner"
 )
 
-// drainPoll is how often a draining daemon looks whether requests remain.
-const drainPoll = 50 * time.Millisecond
+const (
+	// drainPoll is how often a draining daemon looks whether requests remain.
+	drainPoll = 50 * time.Millisecond
+
+	// drainLearn is how long peers may go on naming a host that has said it
+	// leaves.
+	drainLearn = 3 * time.Second
+)
 
 // Drain makes the host leave: callers are no longer sent to it, its endpoints
 // pass to other hosts, and requests that still come are served for as long as
-// callers may keep its address. It returns when no request is left after that
-// or when ctx ends, and reports whether none was left.
+// peers may name it and callers may keep its address. It returns when no
+// request is left after that or when ctx ends, and reports whether none was
+// left.
 func (d *Daemon) Drain(ctx context.Context) bool {
 	d.post(leaving{})
 	ticks := time.NewTicker(drainPoll)
 	defer ticks.Stop()
-	lifetime := time.NewTimer(d.lifetime)
+	lifetime := time.NewTimer(d.lifetime + drainLearn)
 	defer lifetime.Stop()
 	expired := false
 	for {
@@ -55,7 +62,22 @@
 // counted asks how many requests the daemon holds.
 type counted struct{ reply chan<- int }
 
-func (ev counted) apply(d *Daemon, _ time.Time) { ev.reply <- len(d.jobs) }
+func (ev counted) apply(d *Daemon, _ time.Time) { ev.reply <- d.requests() }
+
+// requests returns how many requests the daemon holds: scheduled, waiting for
+// leave or for credit, or with the executor.
+func (d *Daemon) requests() int {
+	n := len(d.claims) + len(d.calls)
+	for _, j := range d.jobs {
+		if j.call == nil {
+			n++
+		}
+	}
+	for _, waiting := range d.held {
+		n += len(waiting)
+	}
+	return n
+}
 
 // idle reports whether the daemon holds no request.
 func (d *Daemon) idle() bool {
--- a/io/bbtdaemon/status.go
+++ b/io/bbtdaemon/status.go
@@ -65,7 +65,7 @@
 		Serving:       d.keeper.Serving(),
 		Fresh:         d.keeper.Fresh(now),
 		Leaving:       d.leaving,
-		Requests:      len(d.jobs),
+		Requests:      d.requests(),
 	}
 	if v, err := d.keeper.Refused(); err != nil {
 		s.Refused = v.String() + ": " + err.Error()
