bbtdaemon, bbtapp: roles told of host changes once a tick; a memory limit

Cause: each change of a host's state ranked all endpoints anew, 2.9 ms at 600 endpoints; a lost zone brings 57 changes at once. The first parse of 19,000 contracts doubles the heap; the collector's soft limit is 60 MiB.

--- a/cmd/bluebelltray/serve.go
+++ b/cmd/bluebelltray/serve.go
@@ -18,6 +18,7 @@
 	if err != nil {
 		return &exitError{code: exitUnusable, err: err}
 	}
+	bbtapp.LimitMemory()
 	log := bbtapp.NewLogger(s, os.Stderr)
 	defer log.Sync()
 	app, err := bbtapp.New(s, log)
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -70,6 +70,7 @@
 	ranked     []ranked
 	placed     time.Time // since when the host list has been in force
 	placedList bbtfleet.Revision
+	misplaced  bool // a host has changed since the roles were last told
 	leaving    bool
 	jobs       map[bbtgrant.RequestID]*job
 	lastID     bbtgrant.RequestID
@@ -202,6 +203,9 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	if d.misplaced {
+		d.place(now)
+	}
 	d.own(now, false)
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -68,7 +68,7 @@
 		return
 	}
 	d.stepAgent(now, bbtsuspect.HostUnreachable{Host: c.Host, Unreachable: c.State >= bbtmember.Leaving})
-	d.place(now)
+	d.misplaced = true
 	if c.State == bbtmember.Dead {
 		d.step(now, bbtexec.PeerLost{Host: c.Host})
 		d.doOwner(now, d.owner.Forget(now, c.Host))
@@ -124,6 +124,7 @@
 	if d.config == nil {
 		return
 	}
+	d.misplaced = false
 	d.callers = d.reachable()
 	d.limitHosts()
 	d.own(now, true)
