bbtdaemon: engines' cache events, retries by reason, wake-ups when they are due

Cause: the entry role asks a second owner 6 ms after the first, but the loop looked every 50 ms. A prompt's start is identified as engines' cache events do, by its first 256 bytes, not by the first bytes of the JSON body.

--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -34,6 +34,7 @@
 	eventQueue      = 4096
 	tickPeriod      = 50 * time.Millisecond
 	execPeriod      = time.Second
+	wakeLeast       = time.Millisecond
 	secretBytes     = 32
 	agentPeriod     = 200 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
@@ -184,6 +185,8 @@
 func (d *Daemon) run() {
 	ticks := time.NewTicker(tickPeriod)
 	defer ticks.Stop()
+	wake := time.NewTimer(tickPeriod)
+	defer wake.Stop()
 	now := time.Now()
 	d.doView(now, d.keeper.Start(now))
 	for {
@@ -194,8 +197,11 @@
 			ev.apply(d, time.Now())
 		case now := <-ticks.C:
 			d.tick(now)
+		case now := <-wake.C:
+			d.tickRoles(now)
 		}
 		d.deliverLocal(time.Now())
+		wake.Reset(d.untilWake(time.Now()))
 	}
 }
 
@@ -221,10 +227,26 @@
 		d.asked = now
 		d.stepAgent(now, bbtsuspect.Tick{})
 	}
+	d.tickRoles(now)
+}
+
+// tickRoles does what is due for requests and permits.
+func (d *Daemon) tickRoles(now time.Time) {
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
 
+// untilWake returns the time until a request or permit needs attention.
+func (d *Daemon) untilWake(now time.Time) time.Duration {
+	wait := tickPeriod
+	for _, next := range []time.Time{d.entry.Next(), d.owner.Next()} {
+		if !next.IsZero() {
+			wait = min(wait, next.Sub(now))
+		}
+	}
+	return max(wait, wakeLeast)
+}
+
 // post passes an event to run, waiting for room; it reports false once the
 // daemon is closed.
 func (d *Daemon) post(ev event) bool {
--- a/io/bbtdaemon/dispatch.go
+++ b/io/bbtdaemon/dispatch.go
@@ -67,6 +67,9 @@
 		d.counters.Add("dispatch-failures", 1)
 	}
 	ev.finished.apply(d, now)
+	if d.jobs[ev.id] != nil {
+		d.counters.Retried(ev.err.Reason())
+	}
 }
 
 // trackedAnswer reports an answer's progress to the daemon.
--- a/io/bbtdaemon/forward.go
+++ b/io/bbtdaemon/forward.go
@@ -18,6 +18,8 @@
 	Body        []byte                 `cbor:"6,keyasint,omitempty"`
 	Prompt      int                    `cbor:"7,keyasint,omitempty"` // tokens
 	Output      int                    `cbor:"8,keyasint,omitempty"` // tokens
+	Prefix      uint64                 `cbor:"9,keyasint,omitempty"`
+	PrefixSize  int                    `cbor:"10,keyasint,omitempty"` // tokens
 }
 
 // newForward returns the message that carries req beside m.
@@ -31,6 +33,8 @@
 		Body:        req.Body(),
 		Prompt:      req.PromptTokens(),
 		Output:      req.MaxTokens(),
+		Prefix:      req.Prefix(),
+		PrefixSize:  req.PrefixTokens(),
 	}
 }
 
@@ -38,5 +42,6 @@
 func (f Forward) request() *bbthttp.Request {
 	return bbthttp.NewRequest(f.Request.Account, f.Pool, f.Method, f.Path,
 		bbthttp.WithContent(f.ContentType, f.Body),
-		bbthttp.WithTokens(f.Prompt, f.Output))
+		bbthttp.WithTokens(f.Prompt, f.Output),
+		bbthttp.WithPrefix(f.Prefix, f.PrefixSize))
 }
--- a/io/bbtdaemon/poller.go
+++ b/io/bbtdaemon/poller.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -14,6 +16,7 @@
 	endpoint bbtfleet.Endpoint
 	ctx      context.Context
 	cancel   context.CancelFunc
+	held     map[uint64]bool // prefixes that the engine's cache held last
 }
 
 // poll makes the pollers match the owned endpoints.
@@ -49,8 +52,11 @@
 func (p *poller) run() {
 	ticks := time.NewTicker(loadPeriod)
 	defer ticks.Stop()
-	for {
+	for n := 0; ; n++ {
 		p.read()
+		if n%cacheRate == 0 && p.endpoint.Kind() == bbtfleet.ModelEngine {
+			p.readCache()
+		}
 		select {
 		case <-ticks.C:
 		case <-p.ctx.Done():
@@ -76,3 +82,41 @@
 		At:          asked,
 	}})
 }
+
+// cacheRate is the number of load reports for each look at an engine's cache.
+const cacheRate = 10
+
+// readCache passes on what the engine's cache has taken up and evicted.
+func (p *poller) readCache() {
+	list, err := p.daemon.loads.ReadCache(p.ctx, p.endpoint)
+	if err != nil {
+		p.daemon.counters.Add("cache-reads-failed", 1)
+		return
+	}
+	held := make(map[uint64]bool, len(list))
+	var changes []bbtgrant.CacheEvent
+	for _, prefix := range list {
+		held[prefix] = true
+		if !p.held[prefix] {
+			changes = append(changes, bbtgrant.CacheEvent{Endpoint: p.endpoint.ID(), Prefix: prefix})
+		}
+	}
+	for _, prefix := range slices.Sorted(maps.Keys(p.held)) {
+		if !held[prefix] {
+			changes = append(changes, bbtgrant.CacheEvent{Endpoint: p.endpoint.ID(), Prefix: prefix, Evicted: true})
+		}
+	}
+	p.held = held
+	if len(changes) > 0 {
+		p.daemon.post(cached{changes})
+	}
+}
+
+// cached says what an engine's cache has taken up and evicted.
+type cached struct{ changes []bbtgrant.CacheEvent }
+
+func (ev cached) apply(d *Daemon, now time.Time) {
+	for _, c := range ev.changes {
+		d.doOwner(now, d.owner.Cached(now, c))
+	}
+}
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -9,12 +9,8 @@
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtroute"
 	"bluebelltray/core/bbtverdict"
-	"github.com/cespare/xxhash/v2"
 )
 
-// prefixBytes is how much of a prompt identifies its prefix.
-const prefixBytes = 1024
-
 // overloadedRetry is when a caller should come again to a host that is short of
 // room.
 const overloadedRetry = time.Second
@@ -102,18 +98,18 @@
 
 // routed returns the request as the routing decisions see it.
 func routed(now time.Time, j *job, c bbtfleet.Contract) bbtroute.Request {
-	body := j.req.Body()
 	return bbtroute.Request{
-		ID:       j.id,
-		Pool:     j.req.Pool(),
-		Account:  j.req.Account(),
-		Tier:     c.Tier(),
-		Deadline: now.Add(c.Deadline()),
-		Prompt:   j.req.PromptTokens(),
-		Output:   j.req.MaxTokens(),
-		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
-		Repeats:  j.repeats(c),
-		Alone:    j.alone,
+		ID:           j.id,
+		Pool:         j.req.Pool(),
+		Account:      j.req.Account(),
+		Tier:         c.Tier(),
+		Deadline:     now.Add(c.Deadline()),
+		Prompt:       j.req.PromptTokens(),
+		Output:       j.req.MaxTokens(),
+		Prefix:       j.req.Prefix(),
+		PrefixTokens: j.req.PrefixTokens(),
+		Repeats:      j.repeats(c),
+		Alone:        j.alone,
 	}
 }
 
--- a/io/bbthttp/load.go
+++ b/io/bbthttp/load.go
@@ -11,8 +11,8 @@
 	"github.com/cockroachdb/errors"
 )
 
-// maxLoadBytes bounds the size of a load report.
-const maxLoadBytes = 64 << 10
+// maxLoadBytes bounds the size of a report.
+const maxLoadBytes = 256 << 10
 
 // Load is what an endpoint reports about itself.
 type Load struct {
@@ -42,7 +42,7 @@
 	Served      int    `json:"served"`
 }
 
-// LoadReader reads the load reports of endpoints.
+// LoadReader reads what endpoints report of their load and caches.
 type LoadReader struct {
 	http *http.Client
 }
@@ -55,23 +55,29 @@
 
 // Read returns the endpoint's present report.
 func (r *LoadReader) Read(ctx context.Context, ep bbtfleet.Endpoint) (Load, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ep.Addr()+"/load", nil)
-	if err != nil {
+	var rec loadRecord
+	if err := r.get(ctx, ep, "/load", &rec); err != nil {
 		return Load{}, err
 	}
+	return Load{bbtfleet.Incarnation(rec.Incarnation), rec.Running, rec.Waiting, rec.Served}, nil
+}
+
+// get decodes one JSON page of an endpoint.
+func (r *LoadReader) get(ctx context.Context, ep bbtfleet.Endpoint, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+ep.Addr()+path, nil)
+	if err != nil {
+		return err
+	}
 	resp, err := r.http.Do(req)
 	if err != nil {
-		return Load{}, err
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return Load{}, errors.Newf("load of %s: status %d", ep.ID(), resp.StatusCode)
+		return errors.Newf("%s of %s: status %d", path, ep.ID(), resp.StatusCode)
 	}
-	var rec loadRecord
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(&rec); err != nil {
-		return Load{}, errors.Wrapf(err, "load of %s", ep.ID())
-	}
-	return Load{bbtfleet.Incarnation(rec.Incarnation), rec.Running, rec.Waiting, rec.Served}, nil
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxLoadBytes)).Decode(v)
+	return errors.Wrapf(err, "%s of %s", path, ep.ID())
 }
 
 // Close closes idle connections.
--- a/io/bbthttp/parse.go
+++ b/io/bbthttp/parse.go
@@ -21,6 +21,7 @@
 	maxTokensAccepted = 1 << 17
 	maxKeyBytes       = 256
 	maxNameBytes      = 128
+	prefixBytes       = 256
 )
 
 // completion is the part of a completions request that the scheduler reads.
@@ -30,6 +31,15 @@
 	MaxTokens *int            `json:"max_tokens"`
 }
 
+// text returns the prompt if it is a string, and its JSON text otherwise.
+func (c completion) text() string {
+	var s string
+	if err := json.Unmarshal(c.Prompt, &s); err != nil {
+		return string(c.Prompt)
+	}
+	return s
+}
+
 // badRequest returns a refusal of input that cannot be used.
 func badRequest(format string, args ...any) *bbtverdict.Error {
 	return bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonBadRequest,
@@ -104,7 +114,7 @@
 	if limit < 1 || limit > maxTokensAccepted {
 		return nil, badRequest("field max_tokens is %d, must be 1 to %d", limit, maxTokensAccepted)
 	}
-	opts = append(opts, WithTokens(len(c.Prompt)/charsPerToken+1, limit))
+	opts = append(opts, WithTokens(len(c.Prompt)/charsPerToken+1, limit), WithPrompt(c.text()))
 	return NewRequest(a, bbtfleet.PoolID(c.Model), http.MethodPost, pathCompletions, opts...), nil
 }
 
--- a/io/bbthttp/request.go
+++ b/io/bbthttp/request.go
@@ -3,6 +3,7 @@
 import (
 	"bluebelltray"
 	"bluebelltray/core/bbtfleet"
+	"github.com/cespare/xxhash/v2"
 )
 
 // Request is one caller's request as read from HTTP.
@@ -15,6 +16,8 @@
 	body         []byte
 	promptTokens int
 	maxTokens    int
+	prefix       uint64
+	prefixTokens int
 	ticket       string
 	key          string
 	attempt      Attempt
@@ -30,6 +33,21 @@
 	return func(r *Request) { r.promptTokens, r.maxTokens = prompt, limit }
 }
 
+// WithPrompt sets the prompt, whose start identifies what endpoints may hold in
+// their caches.
+func WithPrompt(prompt string) RequestOption {
+	return func(r *Request) {
+		start := prompt[:min(len(prompt), prefixBytes)]
+		r.prefix = PrefixOf(start)
+		r.prefixTokens = len(start) / charsPerToken
+	}
+}
+
+// WithPrefix sets the number and the length in tokens of the prompt's start.
+func WithPrefix(prefix uint64, tokens int) RequestOption {
+	return func(r *Request) { r.prefix, r.prefixTokens = prefix, tokens }
+}
+
 // WithTicket sets the ticket that the caller holds.
 func WithTicket(text string) RequestOption { return func(r *Request) { r.ticket = text } }
 
@@ -77,6 +95,12 @@
 // MaxTokens returns the most tokens the answer may have.
 func (r *Request) MaxTokens() int { return r.maxTokens }
 
+// Prefix identifies the start of the prompt; zero if there is none.
+func (r *Request) Prefix() uint64 { return r.prefix }
+
+// PrefixTokens returns the length of that start in tokens.
+func (r *Request) PrefixTokens() int { return r.prefixTokens }
+
 // Ticket returns the text of the ticket, or empty.
 func (r *Request) Ticket() string { return r.ticket }
 
@@ -89,3 +113,7 @@
 
 // Counted reports whether the caller counts its attempts.
 func (r *Request) Counted() bool { return r.attempt != Uncounted }
+
+// PrefixOf returns the number that identifies the start of a prompt; it is not
+// zero.
+func PrefixOf(start string) uint64 { return xxhash.Sum64String(start) | 1 }
--- a/scheduler.go
+++ b/scheduler.go
@@ -30,6 +30,11 @@
 	PromptTokens() int
 	MaxTokens() int
 
+	// Prefix identifies the start of the prompt, as endpoints' cache events do;
+	// zero for a plain service's call. PrefixTokens is its length in tokens.
+	Prefix() uint64
+	PrefixTokens() int
+
 	// Ticket is the text of the ticket that the caller holds, or empty.
 	Ticket() string
 
