fleetrun: bounds on endpoints without rights; a zone dropped while cut off

A dead host's endpoints have to be in use again within 6 s; a start and a zone's restart add the 5 s until hosts serve or the list's lag.

partition-dropped: the host list drops two zones that are cut off and run. Either side then has all ranks on its own.

--- a/internal/fleetrun/checks.go
+++ b/internal/fleetrun/checks.go
@@ -15,6 +15,8 @@
 	last        map[bbtfleet.HostID]bbtfleet.Version // in force in the host's process
 	idle        map[bbtfleet.EndpointID]time.Duration
 	longest     time.Duration // longest time that no host had a right to an endpoint
+	over        int           // most slots of an endpoint that hosts had a right to beyond its own
+	sides       int           // that go by host lists of their own and can't hear of the other's
 	falseAlarms int           // hosts declared dead that run and can be reached
 	detected    func(by *host, of bbtfleet.HostID)
 	arrived     func(h *host)
@@ -27,6 +29,7 @@
 		floor:    make(map[bbtfleet.HostID]bbtfleet.Version),
 		last:     make(map[bbtfleet.HostID]bbtfleet.Version),
 		idle:     make(map[bbtfleet.EndpointID]time.Duration),
+		sides:    1,
 		detected: func(*host, bbtfleet.HostID) {},
 		arrived:  func(*host) {},
 		serving:  func(*host) {},
@@ -111,7 +114,8 @@
 	}
 	for _, e := range w.endpoints {
 		sum := sums[e.ID()]
-		if sum > e.Slots() {
+		c.over = max(c.over, sum-e.Slots())
+		if sum > c.sides*e.Slots() {
 			c.exceeded(w, e, sum)
 		}
 		if sum > 0 {
--- a/internal/fleetrun/host.go
+++ b/internal/fleetrun/host.go
@@ -233,9 +233,6 @@
 // slots returns how many of the endpoint's slots the host fills at most now. A
 // paused process goes by what it knew.
 func (h *host) slots(id bbtfleet.EndpointID) int {
-	if !h.running || !h.keeper.Fresh(h.world.now) {
-		return 0
-	}
 	return h.rights.Slots(h.world.now, id, h.contact)
 }
 
--- a/internal/fleetrun/scenario.go
+++ b/internal/fleetrun/scenario.go
@@ -4,37 +4,44 @@
 	"time"
 
 	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtowner"
 )
 
 const (
 	steadyTime    = 288 * time.Second // in which one of 300 changes a day falls
 	day           = 24 * time.Hour
+	startSpread   = time.Second      // within which all hosts start
+	listSpread    = time.Second      // within which a host list is in force everywhere
 	convergeLimit = 10 * time.Second // within which a change is in force everywhere
 	readLimit     = 2000             // calls a second that the platform bears
 	byteLimit     = 4096             // bytes a second that a daemon spends in a steady state
 	samplePeriod  = tickInterval
+	serveLimit    = 5 * time.Second // within which a host that starts serves
+	idleLimit     = 6 * time.Second // within which a dead host's endpoints are in use again
 )
 
 // scenario is a course of events with its length.
 type scenario struct {
 	name   string
 	length time.Duration
-	steady bool // whether byteLimit applies
-	within time.Duration
+	steady bool          // whether byteLimit applies
+	within time.Duration // of a change everywhere, not checked if zero
+	idle   time.Duration // of an endpoint that no host has a right to, beside idleLimit
 	begin  func(w *world)
 }
 
 var scenarios = []scenario{
-	{name: "start", length: time.Minute, begin: start},
+	{name: "start", length: time.Minute, idle: startSpread + serveLimit, begin: start},
 	{name: "one-change", length: 30 * time.Second, within: convergeLimit, begin: oneChange},
 	{name: "steady", length: steadyTime, steady: true, within: convergeLimit, begin: steady},
 	{name: "zone-out", length: 30 * time.Second, within: convergeLimit, begin: zoneOut},
 	{name: "host-death", length: time.Minute, begin: hostDeath},
-	{name: "zone-restart", length: 90 * time.Second, begin: zoneRestart},
+	{name: "zone-restart", length: 90 * time.Second, idle: listLag + listSpread, begin: zoneRestart},
 	{name: "freeze", length: time.Minute, begin: freeze},
 	{name: "service-outage", length: 4 * time.Minute, within: convergeLimit, begin: outage},
 	{name: "service-restored", length: 2 * time.Minute, begin: restored},
 	{name: "partition", length: 2 * time.Minute, within: convergeLimit, begin: partition},
+	{name: "partition-dropped", length: 2 * time.Minute, within: convergeLimit, begin: partitionDropped},
 }
 
 // measure runs a scenario and returns its row.
@@ -42,6 +49,8 @@
 	w.stats = newStats(w.now)
 	w.checks.longest = 0
 	w.checks.falseAlarms = 0
+	w.checks.over = 0
+	w.checks.sides = 1
 	w.checks.detected = func(*host, bbtfleet.HostID) {}
 	w.checks.arrived = func(*host) {}
 	w.checks.serving = func(*host) {}
@@ -75,6 +84,9 @@
 	if limit := sc.within.Milliseconds(); limit > 0 && (s.missing > 0 || s.times.Max() > limit) {
 		w.checks.violate(w, "%s: %d hosts missing, the last after %d ms", sc.name, s.missing, s.times.Max())
 	}
+	if limit := idleLimit + sc.idle; w.checks.longest > limit {
+		w.checks.violate(w, "%s: an endpoint without rights for %v", sc.name, w.checks.longest)
+	}
 	if !sc.steady {
 		return
 	}
@@ -94,7 +106,7 @@
 	}
 	for _, h := range w.hosts {
 		w.stats.missing++
-		w.at(time.Duration(w.rng.Int64N(int64(time.Second))), h.start)
+		w.at(time.Duration(w.rng.Int64N(int64(startSpread))), h.start)
 	}
 }
 
@@ -273,6 +285,21 @@
 	})
 }
 
+// partitionDropped is a partition in which the host list drops the hosts that
+// are cut off, though they run. Either side then has all ranks on its own, and
+// nothing that it can know tells it of the other: the check is of each side.
+func partitionDropped(w *world) {
+	partition(w)
+	w.checks.sides = 2
+	var cut []*host
+	for i := range min(2, len(w.zones)) {
+		cut = append(cut, w.zoneHosts(i)...)
+	}
+	w.at(listLag, func() { w.relist(true, cut...) })
+	w.at(time.Minute, func() { w.relist(false, cut...) })
+	w.at(time.Minute+listSpread+bbtowner.StepIn, func() { w.checks.sides = 1 })
+}
+
 // followRest measures the time from now until the hosts that lack the newest
 // configuration have it in force.
 func (w *world) followRest() {
--- a/internal/fleetrun/stats.go
+++ b/internal/fleetrun/stats.go
@@ -11,7 +11,7 @@
 
 // header names the columns of a row.
 const header = "hosts\tendpoints\tcontracts\tscenario\treads/s-peak\treads/s-mean\twatches\t" +
-	"B/s-mean\tB/s-max\tmissing\tp50-ms\tp99-ms\tmax-ms\tunowned-max-s\tfalse-alarms\twrong-at-end\tcpu-%\theap-MB"
+	"B/s-mean\tB/s-max\tmissing\tp50-ms\tp99-ms\tmax-ms\tidle-max-s\tover-max\tfalse-alarms\twrong-at-end\tcpu-%\theap-MB"
 
 const (
 	longestTime = 10 * time.Minute // that the histogram of times holds
@@ -68,7 +68,7 @@
 		fmt.Sprintf("%.0f", float64(bytes)/n/seconds), fmt.Sprintf("%.0f", float64(most)/seconds),
 		fmt.Sprint(s.missing),
 		fmt.Sprint(s.times.ValueAtQuantile(50)), fmt.Sprint(s.times.ValueAtQuantile(99)), fmt.Sprint(s.times.Max()),
-		fmt.Sprintf("%.0f", w.checks.longest.Seconds()), fmt.Sprint(w.checks.falseAlarms), fmt.Sprint(w.wrong()),
+		fmt.Sprintf("%.1f", w.checks.longest.Seconds()), fmt.Sprint(w.checks.over), fmt.Sprint(w.checks.falseAlarms), fmt.Sprint(w.wrong()),
 		fmt.Sprintf("%.3f", 100*cpu.Seconds()/n/seconds), fmt.Sprintf("%.2f", heapMegabytes()/n),
 	}, "\t")
 }
