--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtgrant"
 	"bluebelltray/core/bbtverdict"
 )
@@ -45,17 +46,35 @@
 
 // widen registers a request that waits with more owners.
 func (e *Entry) widen(now time.Time, j *job) []Action {
-	j.width = e.width
+	if j.width < e.width {
+		j.width, j.widenAt = e.width, now.Add(e.spill)
+		e.timers.set(j.widenAt, j.ID)
+		return e.ask(now, j)
+	}
 	j.widenAt = time.Time{}
+	if e.hasteOf(j.Pool).room(j.Tier) {
+		j.width = e.width + 1
+		j.order = e.pools[j.Pool].rank(uint64(j.ID), j.Exclude)
+	}
 	return e.ask(now, j)
 }
 
+// hasteOf returns what is known of how quickly a pool's requests are granted.
+func (e *Entry) hasteOf(id bbtfleet.PoolID) *haste {
+	h := e.hastes[id]
+	if h == nil {
+		h = &haste{}
+		e.hastes[id] = h
+	}
+	return h
+}
+
 // again registers a request anew after a dispatch, within the budget.
 func (e *Entry) again(now time.Time, j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
 	if !e.budget.spend() {
 		return e.fail(j, v, r)
 	}
-	j.tried, j.late, j.reason, j.width = nil, 0, "", e.width
+	j.tried, j.late, j.reason, j.width = nil, 0, r, e.width
 	return e.place(now, j)
 }
 
@@ -71,17 +90,13 @@
 
 // refuse ends a request that is not dispatched.
 func (e *Entry) refuse(j *job, reason bbtverdict.Reason) []Action {
-	verdict := bbtverdict.NotRun
-	if j.repeats > 0 {
-		verdict = bbtverdict.MayHaveRun
-	}
-	return e.fail(j, verdict, reason)
+	return e.fail(j, j.verdict(), reason)
 }
 
 // fail ends a request without an answer.
 func (e *Entry) fail(j *job, v bbtverdict.Verdict, r bbtverdict.Reason) []Action {
 	delete(e.jobs, j.ID)
-	return append(e.withdraw(j), Refuse{Request: j.ID, Err: bbtverdict.New(v, r)})
+	return append(e.withdraw(j), Refuse{Request: j.ID, Err: bbtverdict.New(v, r, bbtverdict.WithRetryAfter(j.retry))})
 }
 
 func (e *Entry) registration(now time.Time, j *job) bbtgrant.Registration {
@@ -91,7 +106,7 @@
 		Account:      j.Account,
 		Tier:         j.Tier,
 		Sent:         now.Sub(e.start),
-		Left:         j.Deadline.Sub(now),
+		Left:         j.left(now),
 		Prompt:       j.Prompt,
 		Output:       j.Output,
 		Prefix:       j.Prefix,
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -9,14 +9,19 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+// noDeadline is the time that a request without a deadline may take.
+const noDeadline = time.Hour
+
 // job is the state of one request between Submit and its end.
 type job struct {
 	Request
+	since    time.Time         // when it was submitted
 	order    []bbtfleet.HostID // owners in the order to try
 	asked    []bbtfleet.HostID // owners that hold a registration
 	tried    []bbtfleet.HostID // owners that shed the request or died
 	late     int               // owners that can't meet the deadline
-	reason   bbtverdict.Reason // why the last owner shed the request
+	reason   bbtverdict.Reason // why the last owner shed the request or its dispatch failed
+	retry    time.Duration     // when to resend, as the last owner that shed it says
 	width    int               // owners to register with at once
 	widenAt  time.Time         // when to register with more owners; zero for never
 	dispatch *dispatch         // nil while the request waits
@@ -31,6 +36,23 @@
 	first  time.Time // zero before the first token
 }
 
+// verdict returns what is known of the execution of a request that has no
+// dispatch under way.
+func (j *job) verdict() bbtverdict.Verdict {
+	if j.repeats > 0 {
+		return bbtverdict.MayHaveRun
+	}
+	return bbtverdict.NotRun
+}
+
+// left returns the time to the deadline, or noDeadline.
+func (j *job) left(now time.Time) time.Duration {
+	if j.Deadline.IsZero() {
+		return noDeadline
+	}
+	return j.Deadline.Sub(now)
+}
+
 // drop forgets the registration with an owner and reports whether there was
 // one.
 func (j *job) drop(h bbtfleet.HostID) bool {
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -67,8 +67,8 @@
 		d.peers.Reset(c.Host)
 		return
 	}
-	d.unsettle(now)
-	d.place(now)
+	d.stepAgent(now, bbtsuspect.HostUnreachable{Host: c.Host, Unreachable: c.State >= bbtmember.Leaving})
+	d.misplaced = true
 	if c.State == bbtmember.Dead {
 		d.step(now, bbtexec.PeerLost{Host: c.Host})
 		d.doOwner(now, d.owner.Forget(now, c.Host))
@@ -91,65 +91,68 @@
 	d.peers.SetHosts(hosts.Hosts())
 	d.counters.Set("host-list-revision", int64(hosts.Revision()))
 	d.log.Info("host list in force", zap.Uint64("revision", uint64(hosts.Revision())))
-	d.unsettle(now)
+	d.stepAgent(now, bbtsuspect.HostsChanged{Hosts: live(hosts)})
 	d.doMember(now, d.member.SetHosts(now, hosts))
 	d.step(now, bbtexec.ViewConfirmed{View: bbthome.NewView(hosts)})
 	d.rank(now)
 }
 
-// unsettle says that another host may have guarded this host's requests until
-// now.
-func (d *Daemon) unsettle(now time.Time) {
-	d.guard.Unsettle(now.Add(bbtsuspect.ClaimTime + unsettledMargin))
+// live returns the names of the list's hosts that take new work.
+func live(list bbtfleet.HostList) []bbtfleet.HostID {
+	var ids []bbtfleet.HostID
+	for _, h := range list.Hosts() {
+		if h.State() == bbtfleet.HostLive {
+			ids = append(ids, h.ID())
+		}
+	}
+	return ids
 }
 
 // rank computes the placement anew.
 func (d *Daemon) rank(now time.Time) {
 	d.places = bbtowner.NewMap(d.config, d.hosts)
+	if d.config == nil {
+		return
+	}
+	d.rankEndpoints(now)
 	d.place(now)
 }
 
-// place gives the roles the endpoints in service and those that this host owns.
+// place gives the roles the endpoints in service and those that this host may
+// fill.
 func (d *Daemon) place(now time.Time) {
 	if d.config == nil {
 		return
 	}
+	d.misplaced = false
 	d.callers = d.reachable()
 	d.limitHosts()
-	targets, owned := d.targets()
-	d.poll(owned)
-	d.doEntry(now, d.entry.View(now, targets))
-	d.doOwner(now, d.owner.Own(now, owned))
-	d.counters.Set("endpoints-owned", int64(len(owned)))
+	d.own(now, true)
+	d.doEntry(now, d.entry.View(now, d.targets()))
 }
 
-// targets returns the endpoints in service with their owners, and those that
-// this host owns.
-func (d *Daemon) targets() ([]bbtroute.Target, []bbtfleet.Endpoint) {
+// targets returns the endpoints in service with the hosts that most likely own
+// them.
+func (d *Daemon) targets() []bbtroute.Target {
 	var targets []bbtroute.Target
-	var owned []bbtfleet.Endpoint
 	for _, ep := range d.config.Endpoints() {
 		if !d.config.Serves(ep.ID()) {
 			continue
 		}
-		owner, ok := d.ownerOf(ep.ID())
-		if !ok {
-			continue
-		}
-		targets = append(targets, bbtroute.Target{Endpoint: ep, Owner: owner})
-		if owner == d.id {
-			owned = append(owned, ep)
+		if owner, ok := d.places.Likely(ep.ID(), d.up); ok {
+			targets = append(targets, bbtroute.Target{Endpoint: ep, Owner: owner})
 		}
 	}
-	return targets, owned
+	return targets
 }
 
-// ownerOf returns the first host in the endpoint's ranks that is up.
-func (d *Daemon) ownerOf(id bbtfleet.EndpointID) (bbtfleet.HostID, bool) {
-	for _, host := range d.places.Ranks(id) {
-		if d.up(host) {
-			return host, true
-		}
+// seen tells the executor which process of a peer a probe or its answer came
+// from.
+func (d *Daemon) seen(now time.Time, from bbtfleet.HostID, m bbtmember.Message) {
+	switch m := m.(type) {
+	case bbtmember.Ping:
+		d.step(now, bbtexec.PeerSeen{Host: from, Incarnation: bbtfleet.Incarnation(m.Incarnation)})
+	case bbtmember.Ack:
+		d.step(now, bbtexec.PeerSeen{Host: from, Incarnation: bbtfleet.Incarnation(m.Incarnation)})
 	}
-	return "", false
 }
