conform: rights by rank and the owner's permits in place of electors

The electors are gone. Three ranks now probe each other with losses, delays, one-way cuts, pauses and restarts; bbtowner.Rights gives each its slots and bbtgrant.Owner grants under them. Invariant: permits that can still be used are never more than the slots, in place of one granter, as several ranks may have a share. TestFenceIsKeptWhenAnElectorRestarts goes with the electors. In its place: TestOrdersOfAFormerOwnerAreRefused, which also refuses a late order under a former right of any rank, and a check on each refusal that a raised epoch numbers above it.

--- a/internal/conform/event.go
+++ b/internal/conform/event.go
@@ -11,7 +11,8 @@
 // Event is one step of a trace.
 type Event interface{ event() }
 
-// Permitted says that an owner granted a permit.
+// Permitted says that an owner granted a permit that is not used before its
+// expiry.
 type Permitted struct {
 	Owner  bbtfleet.HostID
 	At     time.Time
@@ -35,11 +36,12 @@
 type BroughtBack struct{ Endpoint bbtfleet.EndpointID }
 
 // OrderAccepted says that an endpoint that checks fencing numbers accepted an
-// order of an owner. Ownership counts the acquisitions of the endpoint's
-// ownership from one.
+// order.
 type OrderAccepted struct {
-	Owner     bbtfleet.HostID
-	Ownership int
+	Owner  bbtfleet.HostID
+	Number uint64
+	Sent   time.Time
+	Began  time.Time // when the owner began to have the right it used
 }
 
 func (Permitted) event()     {}
