--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -60,10 +60,9 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
+	// The view, and who owns what under it.
 	keeper     *bbtview.Keeper
 	member     *bbtmember.Member
-	entry      *bbtroute.Entry
-	owner      *bbtgrant.Owner
 	config     *bbtfleet.Configuration
 	hosts      bbtfleet.HostList
 	places     *bbtowner.Map // over all hosts of the list
@@ -71,23 +70,32 @@
 	ranked     []ranked
 	placed     time.Time // since when the host list has been in force
 	placedList bbtfleet.Revision
-	misplaced  bool // a host has changed since the roles were last told
-	leaving    bool
-	jobs       map[bbtgrant.RequestID]*job
-	lastID     bbtgrant.RequestID
-	exec       *bbtexec.Executor
-	calls      map[bbtexec.CallID]*call
-	lastCall   bbtexec.CallID
-	limiter    *bbtlimit.Limiter
-	held       map[bbtfleet.AccountID][]held
-	agent      *bbtsuspect.Agent
-	claims     map[bbtsuspect.CallID]*claim
-	lastClaim  bbtsuspect.CallID
-	asked      time.Time // when the agent was told the time last
-	second     time.Time // when the executor was told the time last
-	local      []any
-	pollers    map[bbtfleet.EndpointID]*poller
+	misplaced  bool              // a host has changed since the roles were last told
 	asking     *bbtpeer.Exchange // of the peer's question at hand
+	leaving    bool
+
+	// Requests, from their admission to their dispatch.
+	limiter   *bbtlimit.Limiter
+	held      map[bbtfleet.AccountID][]held
+	agent     *bbtsuspect.Agent
+	agentTold time.Time // when the agent was told the time last
+	claims    map[bbtsuspect.CallID]*claim
+	lastClaim bbtsuspect.CallID
+	entry     *bbtroute.Entry
+	jobs      map[bbtgrant.RequestID]*job
+	lastID    bbtgrant.RequestID
+
+	// Calls that run at most once.
+	exec     *bbtexec.Executor
+	execTold time.Time // when the executor was told the time last
+	calls    map[bbtexec.CallID]*call
+	lastCall bbtexec.CallID
+
+	// The owner role.
+	owner   *bbtgrant.Owner
+	pollers map[bbtfleet.EndpointID]*poller
+
+	local []any // messages to this host itself
 }
 
 // Option sets an optional part of a Daemon.
@@ -195,10 +203,10 @@
 			return
 		case ev := <-d.events:
 			ev.apply(d, time.Now())
-		case now := <-ticks.C:
-			d.tick(now)
-		case now := <-wake.C:
-			d.tickRoles(now)
+		case <-ticks.C:
+			d.tick(time.Now())
+		case <-wake.C:
+			d.tickRoles(time.Now())
 		}
 		d.deliverLocal(time.Now())
 		wake.Reset(d.untilWake(time.Now()))
@@ -216,15 +224,15 @@
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
-	if now.Sub(d.second) >= execPeriod {
-		d.second = now
+	if now.Sub(d.execTold) >= execPeriod {
+		d.execTold = now
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
 	}
 	d.resumeDue(now)
-	if now.Sub(d.asked) >= agentPeriod {
-		d.asked = now
+	if now.Sub(d.agentTold) >= agentPeriod {
+		d.agentTold = now
 		d.stepAgent(now, bbtsuspect.Tick{})
 	}
 	d.tickRoles(now)
