bbtowner, bbtdaemon: an answer counts once former permits have run out

Cause (found by a random drive against the model): a rank that steps back because it hears from a better one has permits that may be used for a second more, while the better rank counted its answer at once: 7 permits of 6. Seen to fail with the wait left out: the answer after a gap counts at once.

--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -67,6 +67,7 @@
 	hosts      bbtfleet.HostList
 	places     *bbtowner.Map // over all hosts of the list
 	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	answers    bbtowner.Answers
 	ranked     []ranked
 	placed     time.Time // since when the host list has been in force
 	placedList bbtfleet.Revision
--- a/io/bbtdaemon/right.go
+++ b/io/bbtdaemon/right.go
@@ -67,12 +67,15 @@
 	if d.leaving || !d.keeper.Fresh(now) {
 		return 0
 	}
-	return d.places.Right(now, d.placed, d.id, ep, d.contact)
+	return d.places.Right(now, d.placed, d.id, ep, func(id bbtfleet.HostID) bbtowner.Contact {
+		return d.contact(now, id)
+	})
 }
 
 // contact returns what this host knows of another one from their own exchange.
-func (d *Daemon) contact(id bbtfleet.HostID) bbtowner.Contact {
+func (d *Daemon) contact(now time.Time, id bbtfleet.HostID) bbtowner.Contact {
 	c := d.member.Contact(id)
+	acked := d.answers.Note(now, id, c.Acked())
 	same := c.List() == d.hosts.Revision()
-	return bbtowner.NewContact(c.Heard(), c.Acked(), same, d.member.State(id) == bbtmember.Leaving)
+	return bbtowner.NewContact(c.Heard(), acked, same, d.member.State(id) == bbtmember.Leaving)
 }
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -98,12 +98,16 @@
 
 // routed returns the request as the routing decisions see it.
 func routed(now time.Time, j *job, c bbtfleet.Contract) bbtroute.Request {
+	var deadline time.Time
+	if c.Deadline() > 0 {
+		deadline = now.Add(c.Deadline())
+	}
 	return bbtroute.Request{
 		ID:           j.id,
 		Pool:         j.req.Pool(),
 		Account:      j.req.Account(),
 		Tier:         c.Tier(),
-		Deadline:     now.Add(c.Deadline()),
+		Deadline:     deadline,
 		Prompt:       j.req.PromptTokens(),
 		Output:       j.req.MaxTokens(),
 		Prefix:       j.req.Prefix(),
