bbtdaemon, bbtroute: rights through changes of the placement; requests wait for an owner

Cause: a host that starts has no right for 3 s, and an owner without endpoints answered unknown-pool, which the entry took for the pool's end. The reason is no-owner now, and a request asks again each 250 ms until its deadline, 10 s at most. The demo begins once all slots may be filled.

--- a/core/bbtgrant/grant.go
+++ b/core/bbtgrant/grant.go
@@ -127,7 +127,7 @@
 			continue
 		}
 		for _, it := range p.drop(func(bbtqueue.Item) bool { return true }) {
-			out = append(out, shed(it.Key, bbtverdict.ReasonUnknownPool))
+			out = append(out, shed(it.Key, bbtverdict.ReasonNoOwner))
 		}
 		delete(o.pools, id)
 	}
--- a/core/bbtgrant/owner.go
+++ b/core/bbtgrant/owner.go
@@ -84,7 +84,7 @@
 func (o *Owner) Register(now time.Time, from bbtfleet.HostID, r Registration) []Action {
 	p := o.pools[r.Pool]
 	if p == nil {
-		return []Action{Shed{To: from, Request: r.Request, Reason: bbtverdict.ReasonUnknownPool}}
+		return []Action{Shed{To: from, Request: r.Request, Reason: bbtverdict.ReasonNoOwner, RetryAfter: retryAfter}}
 	}
 	return append(p.push(now, from, r), o.grant(now, p)...)
 }
--- a/core/bbtgrant/pool.go
+++ b/core/bbtgrant/pool.go
@@ -143,7 +143,8 @@
 
 func shed(k bbtqueue.Key, reason bbtverdict.Reason) Shed {
 	s := Shed{To: k.Host, Request: RequestID(k.Request), Reason: reason}
-	if reason == bbtverdict.ReasonNoRoom || reason == bbtverdict.ReasonEvicted {
+	switch reason {
+	case bbtverdict.ReasonNoRoom, bbtverdict.ReasonEvicted, bbtverdict.ReasonNoOwner:
 		s.RetryAfter = retryAfter
 	}
 	return s
--- a/core/bbtroute/ask.go
+++ b/core/bbtroute/ask.go
@@ -8,6 +8,12 @@
 	"bluebelltray/core/bbtverdict"
 )
 
+// A request waits for an owner at most mostPauses times ownerPause.
+const (
+	ownerPause = 250 * time.Millisecond
+	mostPauses = 40
+)
+
 // place ranks the owners for a request and registers it.
 func (e *Entry) place(now time.Time, j *job) []Action {
 	p := e.pools[j.Pool]
@@ -37,6 +43,10 @@
 	if len(j.asked) > 0 {
 		return out
 	}
+	if j.reason == bbtverdict.ReasonNoOwner && j.pauses < mostPauses {
+		e.pause(now, j)
+		return out
+	}
 	reason := bbtverdict.ReasonNoRoom
 	if j.reason != "" {
 		reason = j.reason
@@ -44,6 +54,15 @@
 	return append(out, e.refuse(j, reason)...)
 }
 
+// pause lets a request wait until its endpoints may have an owner again, as
+// they get one within seconds of a host's start or death.
+func (e *Entry) pause(now time.Time, j *job) {
+	j.pauses++
+	j.tried = nil
+	j.widenAt = now.Add(ownerPause)
+	e.timers.set(j.widenAt, j.ID)
+}
+
 // widen registers a request that waits with more owners.
 func (e *Entry) widen(now time.Time, j *job) []Action {
 	if j.width < e.width {
--- a/core/bbtroute/job.go
+++ b/core/bbtroute/job.go
@@ -24,6 +24,7 @@
 	retry    time.Duration     // when to resend, as the last owner that shed it says
 	width    int               // owners to register with at once
 	widenAt  time.Time         // when to register with more owners; zero for never
+	pauses   int               // waits for an endpoint to get an owner
 	dispatch *dispatch         // nil while the request waits
 	repeats  int               // dispatches after one of unknown outcome
 }
--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -9,6 +9,7 @@
 	ReasonBadRequest       Reason = "bad-request"
 	ReasonUnknownAccount   Reason = "unknown-account"
 	ReasonUnknownPool      Reason = "unknown-pool"
+	ReasonNoOwner          Reason = "no-owner"
 	ReasonRequestRate      Reason = "request-rate"
 	ReasonTokenRate        Reason = "token-rate"
 	ReasonNoRoom           Reason = "no-room"
@@ -42,6 +43,7 @@
 	ReasonBadRequest,
 	ReasonUnknownAccount,
 	ReasonUnknownPool,
+	ReasonNoOwner,
 	ReasonRequestRate,
 	ReasonTokenRate,
 	ReasonNoRoom,
--- a/internal/bbtdemo/fleet.go
+++ b/internal/bbtdemo/fleet.go
@@ -32,6 +32,7 @@
 	serviceDelay    = 5 * time.Millisecond
 	authorityLife   = time.Hour
 	addressLifetime = 2 * time.Second
+	readyPeriod     = 50 * time.Millisecond
 	drainTime       = 7 * time.Second
 	loopback        = "127.0.0.1:0"
 
@@ -225,22 +226,39 @@
 	return n
 }
 
-// Ready waits until every host serves or ctx ends.
+// Ready waits until every host serves and all slots of the endpoints may be
+// filled, or until ctx ends.
 func (f *Fleet) Ready(ctx context.Context) error {
-	ticks := time.NewTicker(50 * time.Millisecond)
+	ticks := time.NewTicker(readyPeriod)
 	defer ticks.Stop()
-	for _, app := range f.apps {
-		for !app.Daemon().Status().Serving {
-			select {
-			case <-ticks.C:
-			case <-ctx.Done():
-				return errors.Wrap(ctx.Err(), "hosts do not serve")
-			}
+	for !f.ready() {
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			return errors.Wrap(ctx.Err(), "hosts do not serve")
 		}
 	}
 	return nil
 }
 
+// ready reports whether the hosts serve and may fill all slots.
+func (f *Fleet) ready() bool {
+	rights, slots := 0, 0
+	for _, ep := range f.endpoints {
+		slots += ep.Slots()
+	}
+	for _, app := range f.apps {
+		s := app.Daemon().Status()
+		if !s.Serving {
+			return false
+		}
+		for _, o := range s.Owned {
+			rights += o.Right
+		}
+	}
+	return rights == slots
+}
+
 // stopper drains one entry host.
 type stopper struct {
 	app *bbtapp.App
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -61,19 +61,18 @@
 	done     sync.WaitGroup
 
 	// The view, and who owns what under it.
-	keeper     *bbtview.Keeper
-	member     *bbtmember.Member
-	config     *bbtfleet.Configuration
-	hosts      bbtfleet.HostList
-	places     *bbtowner.Map // over all hosts of the list
-	callers    *bbtowner.Map // over the hosts that callers may be sent to
-	answers    bbtowner.Answers
-	ranked     []ranked
-	placed     time.Time // since when the host list has been in force
-	placedList bbtfleet.Revision
-	misplaced  bool              // a host has changed since the roles were last told
-	asking     *bbtpeer.Exchange // of the peer's question at hand
-	leaving    bool
+	keeper    *bbtview.Keeper
+	member    *bbtmember.Member
+	config    *bbtfleet.Configuration
+	hosts     bbtfleet.HostList
+	places    *bbtowner.Map // over all hosts of the list
+	callers   *bbtowner.Map // over the hosts that callers may be sent to
+	answers   bbtowner.Answers
+	rights    *bbtowner.Rights
+	owned     []bbtfleet.Endpoint // with the slots that this host may fill
+	misplaced bool                // a host has changed since the roles were last told
+	asking    *bbtpeer.Exchange   // of the peer's question at hand
+	leaving   bool
 
 	// Requests, from their admission to their dispatch.
 	limiter   *bbtlimit.Limiter
@@ -145,6 +144,7 @@
 		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
 		calls:    make(map[bbtexec.CallID]*call),
 		limiter:  bbtlimit.New(id),
+		rights:   bbtowner.NewRights(id),
 		held:     make(map[bbtfleet.AccountID][]held),
 		agent:    bbtsuspect.NewAgent(id, bbtfleet.Incarnation(incarnation), keyHome),
 		claims:   make(map[bbtsuspect.CallID]*claim),
@@ -218,6 +218,7 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	d.member.SetPartners(d.rights.Partners(now, d.contactsAt(now)))
 	if d.misplaced {
 		d.place(now)
 	}
--- a/io/bbtdaemon/drain.go
+++ b/io/bbtdaemon/drain.go
@@ -56,6 +56,7 @@
 	d.log.Info("draining")
 	d.step(now, bbtexec.Drain{})
 	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
+	d.rights.Leave()
 	d.place(now)
 }
 
--- a/io/bbtdaemon/right.go
+++ b/io/bbtdaemon/right.go
@@ -1,6 +1,7 @@
 package bbtdaemon
 
 import (
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -8,74 +9,46 @@
 	"bluebelltray/core/bbtowner"
 )
 
-// ranked is an endpoint that this host has a rank for.
-type ranked struct {
-	endpoint bbtfleet.Endpoint
-	right    int // slots that the host may fill
-}
-
-// rankEndpoints finds the endpoints in service that this host has a rank for,
-// and has the hosts that share them probed.
-func (d *Daemon) rankEndpoints(now time.Time) {
-	d.ranked = d.ranked[:0]
-	partners := make(map[bbtfleet.HostID]bool)
-	for _, ep := range d.config.Endpoints() {
-		if _, ok := d.places.Rank(ep.ID(), d.id); !ok || !d.config.Serves(ep.ID()) {
-			continue
-		}
-		d.ranked = append(d.ranked, ranked{endpoint: ep})
-		for _, host := range d.places.Ranks(ep.ID()) {
-			partners[host] = host != d.id
-		}
-	}
-	if d.hosts.Revision() != d.placedList {
-		d.placedList, d.placed = d.hosts.Revision(), now
-	}
-	ids := make([]bbtfleet.HostID, 0, len(partners))
-	for _, h := range d.hosts.Hosts() {
-		if partners[h.ID()] {
-			ids = append(ids, h.ID())
-		}
-	}
-	d.member.SetPartners(ids)
-}
-
 // own gives the owner role the slots that this host may fill now, if they have
-// changed.
+// changed or if force is set.
 func (d *Daemon) own(now time.Time, force bool) {
-	changed := force
-	var owned []bbtfleet.Endpoint
-	for i := range d.ranked {
-		r := &d.ranked[i]
-		right := d.right(now, r.endpoint)
-		changed = changed || right != r.right
-		r.right = right
-		if right > 0 {
-			owned = append(owned, r.endpoint.Limited(right))
-		}
-	}
-	if !changed {
+	owned := d.rightful(now)
+	if !force && slices.Equal(owned, d.owned) {
 		return
 	}
+	d.owned = owned
 	d.poll(owned)
 	d.counters.Set("endpoints-owned", int64(len(owned)))
 	d.doOwner(now, d.owner.Own(now, owned))
 }
 
-// right returns how many slots of the endpoint this host may fill now.
-func (d *Daemon) right(now time.Time, ep bbtfleet.Endpoint) int {
-	if d.leaving || !d.keeper.Fresh(now) {
-		return 0
+// rightful returns the endpoints in service that this host may use now, each
+// with the slots that it may fill.
+func (d *Daemon) rightful(now time.Time) []bbtfleet.Endpoint {
+	if d.config == nil || !d.keeper.Fresh(now) {
+		return nil
+	}
+	contacts := d.contactsAt(now)
+	var owned []bbtfleet.Endpoint
+	for _, id := range d.rights.Endpoints(now) {
+		ep, ok := d.config.Endpoint(id)
+		if !ok || !d.config.Serves(id) {
+			continue
+		}
+		if n := d.rights.Slots(now, id, contacts); n > 0 {
+			owned = append(owned, ep.Limited(n))
+		}
 	}
-	return d.places.Right(now, d.placed, d.id, ep, func(id bbtfleet.HostID) bbtowner.Contact {
-		return d.contact(now, id)
-	})
+	return owned
 }
 
-// contact returns what this host knows of another one from their own exchange.
-func (d *Daemon) contact(now time.Time, id bbtfleet.HostID) bbtowner.Contact {
-	c := d.member.Contact(id)
-	acked := d.answers.Note(now, id, c.Acked())
-	same := c.List() == d.hosts.Revision()
-	return bbtowner.NewContact(c.Heard(), acked, same, d.member.State(id) == bbtmember.Leaving)
+// contactsAt returns what this host knows at now of others from their own
+// exchange.
+func (d *Daemon) contactsAt(now time.Time) bbtowner.Contacts {
+	return func(id bbtfleet.HostID) bbtowner.Contact {
+		c := d.member.Contact(id)
+		acked := d.answers.Note(now, id, c.Acked())
+		same := c.List() == d.hosts.Revision()
+		return bbtowner.NewContact(c.Heard(), acked, same, d.member.State(id) == bbtmember.Leaving)
+	}
 }
--- a/io/bbtdaemon/status.go
+++ b/io/bbtdaemon/status.go
@@ -75,17 +75,16 @@
 			s.Peers = append(s.Peers, PeerStatus{h.ID(), h.Zone(), d.member.State(h.ID()).String()})
 		}
 	}
-	s.Owned = d.owned()
+	s.Owned = d.ownedStatus()
 	return s
 }
 
-// owned returns the endpoints that this host may fill slots of.
-func (d *Daemon) owned() []OwnedStatus {
+// ownedStatus returns the endpoints that this host may fill slots of.
+func (d *Daemon) ownedStatus() []OwnedStatus {
 	var owned []OwnedStatus
-	for _, r := range d.ranked {
-		if r.right > 0 {
-			owned = append(owned, OwnedStatus{r.endpoint.ID(), r.right, r.endpoint.Slots()})
-		}
+	for _, limited := range d.owned {
+		ep, _ := d.config.Endpoint(limited.ID())
+		owned = append(owned, OwnedStatus{ep.ID(), limited.Slots(), ep.Slots()})
 	}
 	return owned
 }
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -27,6 +27,7 @@
 			d.log.Warn("configuration rejected", zap.Stringer("version", a.Version), zap.Error(a.Err))
 		case bbtview.Serve:
 			d.log.Info("serving")
+			d.rank(now)
 		case bbtview.TellPeer:
 			d.peers.Send(a.To, a.Digest)
 		case bbtview.AskPeer:
@@ -114,7 +115,9 @@
 	if d.config == nil {
 		return
 	}
-	d.rankEndpoints(now)
+	if d.keeper.Serving() {
+		d.rights.SetMap(now, d.places)
+	}
 	d.place(now)
 }
 
