bbthttp: refuse unknown paths and a null prompt with a verdict

Cause: a request to a path that nothing is served at got a plain 404 without verdict and reason, which bbtcaller takes for an endpoint's answer, and it was not counted; a prompt of null passed the check for a missing prompt and took capacity.

--- a/io/bbthttp/parse.go
+++ b/io/bbthttp/parse.go
@@ -94,7 +94,7 @@
 	if c.Model == "" || len(c.Model) > maxNameBytes {
 		return nil, badRequest("field model must have 1 to %d bytes", maxNameBytes)
 	}
-	if len(c.Prompt) == 0 {
+	if len(c.Prompt) == 0 || string(c.Prompt) == "null" {
 		return nil, badRequest("field prompt is missing")
 	}
 	limit := defaultMaxTokens
--- a/io/bbthttp/refusal.go
+++ b/io/bbthttp/refusal.go
@@ -19,7 +19,10 @@
 }
 
 // refuse answers a request with its verdict in headers and body.
-func refuse(w http.ResponseWriter, err *bbtverdict.Error) {
+func refuse(w http.ResponseWriter, err *bbtverdict.Error) { refuseAs(w, status(err), err) }
+
+// refuseAs answers a request under the given HTTP status.
+func refuseAs(w http.ResponseWriter, code int, err *bbtverdict.Error) {
 	h := w.Header()
 	h.Set(headerContentType, typeJSON)
 	h.Set(HeaderVerdict, err.Verdict().String())
@@ -37,7 +40,7 @@
 		h.Set(headerRetryAfter, strconv.Itoa(int((d+time.Second-1)/time.Second)))
 		body.RetryAfter = d.String()
 	}
-	w.WriteHeader(status(err))
+	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(body) // a caller that has gone needs no answer
 }
 
--- a/io/bbthttp/server.go
+++ b/io/bbthttp/server.go
@@ -58,8 +58,8 @@
 	kratos := append([]khttp.ServerOption{
 		khttp.Timeout(0),
 		khttp.StrictSlash(false),
-		khttp.NotFoundHandler(http.NotFoundHandler()),
-		khttp.MethodNotAllowedHandler(http.NotFoundHandler()),
+		khttp.NotFoundHandler(unknownPath{rec}),
+		khttp.MethodNotAllowedHandler(unknownPath{rec}),
 	}, cfg.kratos...)
 	srv := &Server{
 		Server:    khttp.NewServer(kratos...),
--- /dev/null
+++ b/io/bbthttp/silence_test.go
@@ -0,0 +1,69 @@
+package bbthttp_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/io/bbthttp"
+)
+
+// silentEndpoint sends head to the one call that it takes and then nothing. The
+// channel closes when the caller's side of the connection has.
+func silentEndpoint(t *testing.T, head string) (bbtfleet.Endpoint, <-chan struct{}) {
+	t.Helper()
+	closed := make(chan struct{})
+	ep := serveOnce(t, func(conn net.Conn) {
+		_, _ = io.WriteString(conn, head)
+		_, _ = bufio.NewReader(conn).ReadByte() // fails at the end
+		close(closed)
+	})
+	return ep, closed
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\ndata: x\n\n"
+
+func TestSilentEndpointMayHaveRun(t *testing.T) {
+	for name, head := range map[string]string{"before the head": "", "in the stream": streamHead} {
+		t.Run(name, func(t *testing.T) {
+			ep, closed := silentEndpoint(t, head)
+			ans, err := bbthttp.NewBackend(bbthttp.WithSilence(20*time.Millisecond)).Do(t.Context(), ep, call(), time.Time{})
+			if err == nil {
+				_, err = io.ReadAll(ans)
+				ans.Close()
+			}
+			if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
+				t.Errorf("got verdict %v (%v), want %v", got, err, want)
+			}
+			if got, want := bbtverdict.As(err, "").Reason(), bbtverdict.ReasonEndpointSilent; got != want {
+				t.Errorf("got reason %v (%v), want %v", got, err, want)
+			}
+			<-closed
+		})
+	}
+}
+
+func TestLeavingCallerClosesTheEndpointsConnection(t *testing.T) {
+	ep, closed := silentEndpoint(t, streamHead)
+	ctx, cancel := context.WithCancel(t.Context())
+	ans, err := bbthttp.NewBackend().Do(ctx, ep, call(), time.Time{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ans.Close()
+	if got, want := ans.Status(), http.StatusOK; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+	cancel()
+	<-closed
+	_, err = io.ReadAll(ans)
+	if got, want := bbtverdict.Of(err), bbtverdict.MayHaveRun; got != want {
+		t.Errorf("got verdict %v (%v), want %v", got, err, want)
+	}
+}
