bbtpeer: decode the codec's own types alone

Cause: the codec took any item that decodes to a struct for a message, also the times that the library decodes by itself (tags 0 and 1), against its documentation.

With the seeds added here both fail when the check of the type is left out.

--- a/io/bbtpeer/codec.go
+++ b/io/bbtpeer/codec.go
@@ -24,19 +24,22 @@
 // Codec encodes messages as a sequence of tagged CBOR items. Its tags follow
 // the order of the types it was made with.
 type Codec struct {
-	enc cbor.EncMode
-	dec cbor.DecMode
+	enc   cbor.EncMode
+	dec   cbor.DecMode
+	types map[reflect.Type]bool
 }
 
 // NewCodec returns a codec of the given message types, one value of each. All
 // hosts must use the same order.
 func NewCodec(types ...any) (*Codec, error) {
 	tags := cbor.NewTagSet()
+	known := make(map[reflect.Type]bool, len(types))
 	opts := cbor.TagOptions{EncTag: cbor.EncTagRequired, DecTag: cbor.DecTagRequired}
 	for i, t := range types {
 		if err := tags.Add(opts, reflect.TypeOf(t), firstTag+uint64(i)); err != nil {
 			return nil, errors.Wrapf(err, "message type %T", t)
 		}
+		known[reflect.TypeOf(t)] = true
 	}
 	enc, err := cbor.EncOptions{}.EncModeWithTags(tags)
 	if err != nil {
@@ -50,7 +53,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Codec{enc: enc, dec: dec}, nil
+	return &Codec{enc: enc, dec: dec, types: known}, nil
 }
 
 // Encode returns the bytes of a message.
@@ -63,7 +66,7 @@
 	if err := c.dec.Unmarshal(data, &msg); err != nil {
 		return nil, err
 	}
-	return known(msg)
+	return c.known(msg)
 }
 
 // reader returns a function that reads one message after the other from r.
@@ -76,13 +79,14 @@
 		if err := dec.Decode(&msg); err != nil {
 			return nil, err
 		}
-		return known(msg)
+		return c.known(msg)
 	}
 }
 
-// known returns msg if its type is one of the codec's, which are structs.
-func known(msg any) (any, error) {
-	if _, unknown := msg.(cbor.Tag); unknown || msg == nil || reflect.TypeOf(msg).Kind() != reflect.Struct {
+// known returns msg if its type is one of the codec's. The library decodes
+// further ones by itself: maps, times, big numbers.
+func (c *Codec) known(msg any) (any, error) {
+	if !c.types[reflect.TypeOf(msg)] {
 		return nil, errors.Newf("unknown message of type %T", msg)
 	}
 	return msg, nil
--- a/io/bbtpeer/fuzz_test.go
+++ b/io/bbtpeer/fuzz_test.go
@@ -26,6 +26,9 @@
 	f.Add([]byte{0xd8, 0xff, 0x01})                         // a tag of no type
 	f.Add([]byte{0x9b, 0, 0, 1, 0, 0, 0, 0, 0})             // an array that claims 2^40 elements
 	f.Add([]byte{0x5b, 0x7f, 0xff, 0xff, 0xff, 0, 0, 0, 0}) // a string that claims 2^62 bytes
+	f.Add([]byte{0xc1, 0x30})                               // a time
+	f.Add([]byte{0xc2, 0x41, 0x01})                         // a big number
+	f.Add([]byte{0xa1, 0x01, 0x61, 0x61})                   // a map without a tag
 	f.Add(bytes.Repeat([]byte{0x81}, 64))                   // deeply nested arrays
 }
 
