--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -34,6 +34,7 @@
 	eventQueue      = 4096
 	tickPeriod      = 50 * time.Millisecond
 	execPeriod      = time.Second
+	wakeLeast       = time.Millisecond
 	secretBytes     = 32
 	agentPeriod     = 200 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
@@ -59,33 +60,43 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
+	// The view, and who owns what under it.
 	keeper     *bbtview.Keeper
 	member     *bbtmember.Member
-	entry      *bbtroute.Entry
-	owner      *bbtgrant.Owner
 	config     *bbtfleet.Configuration
 	hosts      bbtfleet.HostList
 	places     *bbtowner.Map // over all hosts of the list
 	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	answers    bbtowner.Answers
 	ranked     []ranked
 	placed     time.Time // since when the host list has been in force
 	placedList bbtfleet.Revision
-	leaving    bool
-	jobs       map[bbtgrant.RequestID]*job
-	lastID     bbtgrant.RequestID
-	exec       *bbtexec.Executor
-	calls      map[bbtexec.CallID]*call
-	lastCall   bbtexec.CallID
-	limiter    *bbtlimit.Limiter
-	held       map[bbtfleet.AccountID][]held
-	agent      *bbtsuspect.Agent
-	claims     map[bbtsuspect.CallID]*claim
-	lastClaim  bbtsuspect.CallID
-	asked      time.Time // when the agent was told the time last
-	second     time.Time // when the executor was told the time last
-	local      []any
-	pollers    map[bbtfleet.EndpointID]*poller
+	misplaced  bool              // a host has changed since the roles were last told
 	asking     *bbtpeer.Exchange // of the peer's question at hand
+	leaving    bool
+
+	// Requests, from their admission to their dispatch.
+	limiter   *bbtlimit.Limiter
+	held      map[bbtfleet.AccountID][]held
+	agent     *bbtsuspect.Agent
+	agentTold time.Time // when the agent was told the time last
+	claims    map[bbtsuspect.CallID]*claim
+	lastClaim bbtsuspect.CallID
+	entry     *bbtroute.Entry
+	jobs      map[bbtgrant.RequestID]*job
+	lastID    bbtgrant.RequestID
+
+	// Calls that run at most once.
+	exec     *bbtexec.Executor
+	execTold time.Time // when the executor was told the time last
+	calls    map[bbtexec.CallID]*call
+	lastCall bbtexec.CallID
+
+	// The owner role.
+	owner   *bbtgrant.Owner
+	pollers map[bbtfleet.EndpointID]*poller
+
+	local []any // messages to this host itself
 }
 
 // Option sets an optional part of a Daemon.
@@ -183,6 +194,8 @@
 func (d *Daemon) run() {
 	ticks := time.NewTicker(tickPeriod)
 	defer ticks.Stop()
+	wake := time.NewTimer(tickPeriod)
+	defer wake.Stop()
 	now := time.Now()
 	d.doView(now, d.keeper.Start(now))
 	for {
@@ -191,10 +204,13 @@
 			return
 		case ev := <-d.events:
 			ev.apply(d, time.Now())
-		case now := <-ticks.C:
-			d.tick(now)
+		case <-ticks.C:
+			d.tick(time.Now())
+		case <-wake.C:
+			d.tickRoles(time.Now())
 		}
 		d.deliverLocal(time.Now())
+		wake.Reset(d.untilWake(time.Now()))
 	}
 }
 
@@ -202,25 +218,44 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	if d.misplaced {
+		d.place(now)
+	}
 	d.own(now, false)
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
-	if now.Sub(d.second) >= execPeriod {
-		d.second = now
+	if now.Sub(d.execTold) >= execPeriod {
+		d.execTold = now
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
 	}
 	d.resumeDue(now)
-	if now.Sub(d.asked) >= agentPeriod {
-		d.asked = now
+	if now.Sub(d.agentTold) >= agentPeriod {
+		d.agentTold = now
 		d.stepAgent(now, bbtsuspect.Tick{})
 	}
+	d.tickRoles(now)
+}
+
+// tickRoles does what is due for requests and permits.
+func (d *Daemon) tickRoles(now time.Time) {
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
 
+// untilWake returns the time until a request or permit needs attention.
+func (d *Daemon) untilWake(now time.Time) time.Duration {
+	wait := tickPeriod
+	for _, next := range []time.Time{d.entry.Next(), d.owner.Next()} {
+		if !next.IsZero() {
+			wait = min(wait, next.Sub(now))
+		}
+	}
+	return max(wait, wakeLeast)
+}
+
 // post passes an event to run, waiting for room; it reports false once the
 // daemon is closed.
 func (d *Daemon) post(ev event) bool {
