bbtowner, fleetrun: a view that is not fresh suspends the rights

The limit of twice the slots in partition-dropped is replaced by this one, which is per host.

Seen to fail: no Suspend, 3 s after a start or a placement that comes meanwhile (freeze+unlisted). What was tried and left out, as no fault showed a need for it: dropping the former placements at Suspend.

--- a/core/bbtowner/rights.go
+++ b/core/bbtowner/rights.go
@@ -11,7 +11,8 @@
 // It is not safe for concurrent use.
 type Rights struct {
 	self    bbtfleet.HostID
-	started time.Time
+	started time.Time   // listening for others
+	ready   time.Time   // no right before
 	held    []placement // oldest first
 	left    bool
 }
@@ -32,6 +33,10 @@
 	if len(r.held) == 0 {
 		r.started = now
 	}
+	if len(r.held) == 0 || now.Before(r.ready) {
+		r.held = nil
+		r.ready = now.Add(StepIn)
+	}
 	p := placement{m: m, since: now}
 	for _, e := range m.Configuration().Endpoints() {
 		if slices.Contains(m.Ranks(e.ID()), r.self) {
@@ -42,6 +47,15 @@
 	r.held = append(r.held, p)
 }
 
+// Suspend says that the host's view is not fresh at now, so that others may
+// have replaced its placement. It has no right until YieldFor after the last
+// call, or StepIn after a placement that comes before then.
+func (r *Rights) Suspend(now time.Time) {
+	if ready := now.Add(YieldFor); ready.After(r.ready) {
+		r.ready = ready
+	}
+}
+
 // Leave ends all rights for good.
 func (r *Rights) Leave() { r.left = true }
 
@@ -60,14 +74,14 @@
 // Slots returns how many of the endpoint's slots the host may fill at now. What
 // it grants may live for at most GrantFor.
 //
-// A process that starts has no right for YieldFor, in which others may count
-// on the answers of its former one. A placement counts from YieldFor after it
+// A process that starts has no right for StepIn, in which others may count on
+// the answers of its former one or have a former placement. A later placement counts from YieldFor after it
 // came, and the one before until StepIn after; while both count, the smaller
 // right holds. So hosts that get a placement within StepIn - YieldFor of each
 // other have one in common at any time.
 func (r *Rights) Slots(now time.Time, id bbtfleet.EndpointID, contacts Contacts) int {
 	r.forget(now)
-	if r.left || len(r.held) == 0 || now.Sub(r.started) < YieldFor {
+	if r.left || len(r.held) == 0 || now.Before(r.ready) {
 		return 0
 	}
 	least := r.slots(now, 0, id, contacts)
--- a/internal/fleetrun/checks.go
+++ b/internal/fleetrun/checks.go
@@ -6,6 +6,7 @@
 
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtowner"
 )
 
 // checks watches what must always hold.
@@ -14,10 +15,10 @@
 	floor       map[bbtfleet.HostID]bbtfleet.Version // that a starting host may not serve below
 	last        map[bbtfleet.HostID]bbtfleet.Version // in force in the host's process
 	idle        map[bbtfleet.EndpointID]time.Duration
-	longest     time.Duration // longest time that no host had a right to an endpoint
-	over        int           // most slots of an endpoint that hosts had a right to beyond its own
-	sides       int           // that go by host lists of their own and can't hear of the other's
-	falseAlarms int           // hosts declared dead that run and can be reached
+	longest     time.Duration      // longest time that no host had a right to an endpoint
+	over        int                // most slots of an endpoint that hosts had a right to beyond its own
+	parted      map[pair]time.Time // when the hosts last could not know of each other's host list
+	falseAlarms int                // hosts declared dead that run and can be reached
 	detected    func(by *host, of bbtfleet.HostID)
 	arrived     func(h *host)
 	serving     func(h *host)
@@ -29,7 +30,7 @@
 		floor:    make(map[bbtfleet.HostID]bbtfleet.Version),
 		last:     make(map[bbtfleet.HostID]bbtfleet.Version),
 		idle:     make(map[bbtfleet.EndpointID]time.Duration),
-		sides:    1,
+		parted:   make(map[pair]time.Time),
 		detected: func(*host, bbtfleet.HostID) {},
 		arrived:  func(*host) {},
 		serving:  func(*host) {},
@@ -115,8 +116,8 @@
 	for _, e := range w.endpoints {
 		sum := sums[e.ID()]
 		c.over = max(c.over, sum-e.Slots())
-		if sum > c.sides*e.Slots() {
-			c.exceeded(w, e, sum)
+		if sum > e.Slots() {
+			c.exceeded(w, e)
 		}
 		if sum > 0 {
 			c.idle[e.ID()] = 0
@@ -127,13 +128,45 @@
 	}
 }
 
-// exceeded records rights to more than an endpoint's slots.
-func (c *checks) exceeded(w *world, e bbtfleet.Endpoint, sum int) {
-	var who []string
+// pair is two hosts.
+type pair struct{ a, b bbtfleet.HostID }
+
+// exceeded checks rights to more than an endpoint's slots. Hosts that are cut
+// off from each other while one lacks a list that the other has can't know of
+// each other's rights; of all others, the slots are the limit.
+func (c *checks) exceeded(w *world, e bbtfleet.Endpoint) {
+	var users []*host
 	for _, h := range w.up() {
-		if n := h.slots(e.ID()); n > 0 {
-			who = append(who, fmt.Sprintf("%s %d under list %d", h.id, n, h.keeper.Hosts().Revision()))
+		if h.slots(e.ID()) > 0 {
+			users = append(users, h)
+		}
+	}
+	for _, h := range users {
+		sum := 0
+		var who []string
+		for _, other := range users {
+			if c.apart(w, h, other) {
+				continue
+			}
+			n := other.slots(e.ID())
+			sum += n
+			who = append(who, fmt.Sprintf("%s %d under list %d", other.id, n, other.keeper.Hosts().Revision()))
 		}
+		if sum > e.Slots() {
+			c.violate(w, "%s has %d slots, rights to %d: %v", e.ID(), e.Slots(), sum, who)
+		}
+	}
+}
+
+// apart reports whether two hosts can't know of each other's host list, or
+// could not until a placement ago.
+func (c *checks) apart(w *world, h, other *host) bool {
+	cut := w.severed(h.id, other.id) || w.severed(other.id, h.id)
+	late := h.keeper.Hosts().Revision() != other.keeper.Hosts().Revision() || h.listed.Sub(other.listed).Abs() > listSpread
+	key := pair{h.id, other.id}
+	if cut && late {
+		c.parted[key] = w.now
 	}
-	c.violate(w, "%s has %d slots, rights to %d: %v", e.ID(), e.Slots(), sum, who)
+	at, ok := c.parted[key]
+	return ok && w.now.Sub(at) <= listSpread+bbtowner.StepIn
 }
--- a/internal/fleetrun/host.go
+++ b/internal/fleetrun/host.go
@@ -29,6 +29,7 @@
 	incarnation int
 	running     bool
 	unlisted    bool
+	listed      time.Time // when the host list came into force
 	frozen      time.Time // until then the process does not run
 	keeper      *bbtview.Keeper
 	member      *bbtmember.Member
@@ -76,6 +77,9 @@
 		h.measured(func(now time.Time) {
 			h.doMember(now, h.member.Tick(now, h.keeper.Digest(now)))
 			h.doView(now, h.keeper.Tick(now))
+			if !h.keeper.Fresh(now) {
+				h.rights.Suspend(now)
+			}
 			h.member.SetPartners(h.rights.Partners(now, h.contact))
 		})
 		h.tick(run, tickInterval)
@@ -189,6 +193,7 @@
 			h.world.checks.inForce(h)
 			h.place(now)
 		case bbtview.HostsInForce:
+			h.listed = now
 			h.doMember(now, h.member.SetHosts(now, a.Hosts))
 			h.place(now)
 		case bbtview.Serve:
@@ -227,12 +232,15 @@
 func (h *host) contact(id bbtfleet.HostID) bbtowner.Contact {
 	c := h.member.Contact(id)
 	same := c.List() == h.keeper.Hosts().Revision()
-	return bbtowner.NewContact(c.Heard(), c.Acked(), same, h.member.State(id) == bbtmember.Leaving)
+	return bbtowner.NewContact(c.Heard(), c.Acked(), same, h.member.State(id) == bbtmember.Leaving).Answering(c.Answering())
 }
 
 // slots returns how many of the endpoint's slots the host fills at most now. A
 // paused process goes by what it knew.
 func (h *host) slots(id bbtfleet.EndpointID) int {
+	if !h.keeper.Fresh(h.world.now) {
+		return 0
+	}
 	return h.rights.Slots(h.world.now, id, h.contact)
 }
 
--- a/internal/fleetrun/scenario.go
+++ b/internal/fleetrun/scenario.go
@@ -37,7 +37,7 @@
 	{name: "zone-out", length: 30 * time.Second, within: convergeLimit, begin: zoneOut},
 	{name: "host-death", length: time.Minute, begin: hostDeath},
 	{name: "zone-restart", length: 90 * time.Second, idle: listLag + listSpread, begin: zoneRestart},
-	{name: "freeze", length: time.Minute, begin: freeze},
+	{name: "freeze", length: time.Minute, idle: bbtowner.YieldFor, begin: freeze},
 	{name: "service-outage", length: 4 * time.Minute, within: convergeLimit, begin: outage},
 	{name: "service-restored", length: 2 * time.Minute, begin: restored},
 	{name: "partition", length: 2 * time.Minute, within: convergeLimit, begin: partition},
@@ -50,7 +50,6 @@
 	w.checks.longest = 0
 	w.checks.falseAlarms = 0
 	w.checks.over = 0
-	w.checks.sides = 1
 	w.checks.detected = func(*host, bbtfleet.HostID) {}
 	w.checks.arrived = func(*host) {}
 	w.checks.serving = func(*host) {}
@@ -287,17 +286,15 @@
 
 // partitionDropped is a partition in which the host list drops the hosts that
 // are cut off, though they run. Either side then has all ranks on its own, and
-// nothing that it can know tells it of the other: the check is of each side.
+// nothing that it can know tells it of the other.
 func partitionDropped(w *world) {
 	partition(w)
-	w.checks.sides = 2
 	var cut []*host
 	for i := range min(2, len(w.zones)) {
 		cut = append(cut, w.zoneHosts(i)...)
 	}
 	w.at(listLag, func() { w.relist(true, cut...) })
 	w.at(time.Minute, func() { w.relist(false, cut...) })
-	w.at(time.Minute+listSpread+bbtowner.StepIn, func() { w.checks.sides = 1 })
 }
 
 // followRest measures the time from now until the hosts that lack the newest
