spec: rights by rank in place of votes

grant.pml has three ranks that exchange probes with losses in one direction, pauses, restarts, hosts that leave and a host list that changes, and looks at each share for itself: its permits can be used from one host at a time.

Rules that the search asked for: an answer or a leave counts once permits from before it have expired; a process that starts waits for YieldFor and a permit's life; a host whose view lapsed before it learns of a new list has no right for as long. A rule that an answer under another list does not count has no mutant: within these bounds no run breaks without it.

--- a/spec/grant.pml
+++ b/spec/grant.pml
@@ -1,187 +1,188 @@
-/* One owner at a time grants, a cold endpoint's budget holds, no permit is used
- * late, and fencing numbers of orders never go back.
+/* Permits for one share of an endpoint's slots can be used from one host at a
+ * time, so that all permits together keep within the slots; none is used late.
  *
- * Three electors vote; hosts 0 and 1 ask for the ownership of one cold endpoint
- * that bears one request. A vote counts LEASE from the sending of the question;
- * its elector keeps to it for PROMISE. Questions, reports and permits are late
- * or lost; hosts restart with nothing kept; a paused host takes no step and acts
- * late. Checking a clock and acting on it are one step. Permits are held by
- * entry hosts, which outlive their owner.
+ * Three hosts rank for an endpoint; each rank has a share. The search covers
+ * each share. A host probes others; the answer counts YIELD from the sending of
+ * the probe, and who hears from a better rank leaves the endpoint alone for
+ * STEPIN. Any probe or answer is lost, in one direction too; a late one counts
+ * for less than one at once, so an exchange is one step. A paused host takes
+ * no step and acts late; hosts restart with nothing kept. Checking a clock and
+ * acting on it are one step. Permits are held by entry hosts, which outlive
+ * their owner. Times are ages, so that runs have no end.
  *
- * Bounds: 3 electors, 2 claimants, TICKS ticks, 1 restart, one permit or
- * (ORDERS) one order of an owner under way at a time, fixed electors: what a
- * lagging host list does to the electorate is not modelled.
+ * Bounds: 3 hosts; YIELD 1 tick, permits 2. LEAVES: one host leaves, one
+ * restart, the first share. LISTS: the host list changes once and ranks the first
+ * host last; hosts learn of it late; no restarts; the first or the second share.
  *
  * Rules, and the mutant that removes each:
- *  promise    an elector keeps to its vote beyond lease and permits  SHORT_PROMISE
- *  restart    a restarted elector is silent for PROMISE; needed only where one
- *             informed vote is enough                               EARLY_VOTE
- *  lease      an owner grants only while its votes are fresh         NO_LEASE
- *  lapsed     an owner whose lease ran out gives up before it asks again:
- *             its report and its fencing number are void            KEEP_LAPSED
- *  expiry     a permit is checked immediately before its use         NO_EXPIRY
- *  report     a new owner grants nothing before a report that was measured
- *             after it became owner                                  NO_REPORT
- *  informed   a majority of votes counts only of electors that heard of an
- *             owner since they started; else all must vote          ONE_INFORMED
- *  epoch      a new owner's fencing number is above all that its electors know
- *             and above the one an endpoint refuses it with          NO_EPOCH
- *  fenced     an endpoint that checks refuses a lower number         NO_FENCE
+ *  step-in    a worse rank waits beyond YIELD and permits         SHORT_STEP_IN
+ *  answered   a worse rank's share only with its answer           NO_ANSWER
+ *  best       only the best rank takes others' shares             SECOND_TAKES
+ *  settled    an answer or leave counts once the permits from before it
+ *             have expired                                        EARLY_YIELD
+ *  quiet      a process that starts has no right as long as others may use
+ *             its share: YIELD and permits                        SHORT_QUIET
+ *  expiry     a permit is checked immediately before its use      NO_EXPIRY
+ *  fresh      no right without a confirmed view                   NO_FRESH
+ *  both       while two placements count, the smaller right holds NEWEST_ONLY
+ *  late       a host whose view lapsed before it learns of a new list has no
+ *             right for QUIET                                     LATE_LIST
+ *  steps      (liveness) a rank that hears no better one has its share  NO_STEP_IN
  */
-#define LEASE 1
-#ifdef ORDERS
-#define PERMIT 1
-#define TICKS 4
-#else
+#define YIELD 1
 #define PERMIT 2
-#define TICKS 5
+#ifdef MUTANT_SHORT_STEP_IN
+#define STEPIN YIELD
+#else
+#define STEPIN (YIELD + PERMIT)
 #endif
-#ifdef MUTANT_SHORT_PROMISE
-#define PROMISE LEASE
+#define FRESH 2
+#ifdef MUTANT_SHORT_QUIET
+#define QUIET YIELD
 #else
-#define PROMISE (LEASE + PERMIT)
+#define QUIET STEPIN
 #endif
-#define START (PROMISE + 1)
-#define KILLS 1
-#define NONE 9
 #define HOLD(p, e) p = (e); assert(p)
 
-bool one_granter = 1, cold_budget = 1, none_expired = 1, fence_kept = 1;
-
-byte now = START, kills, gens;
-byte holder[3] = NONE, until[3], quiet[3], epoch[3];  /* electors */
-bool fresh[3] = 1;                        /* cannot know of an earlier owner */
-bool holding[2], known[2], taken[2];      /* taken: own permit counted */
-byte sent[2], ballot[6], acquired[2], gen[2], since[2], foreign[2];
-bool permit[2]; byte expiry[2];           /* at entry hosts */
-bool dispatched[2];                       /* under the permit, running */
-byte running;
-byte order[2], ordergen[2];               /* under way; 0 none */
-byte fence, accepted;                     /* at the endpoint */
+bool within_slots = 1, none_expired = 1;
 
-#define B(i, j) ballot[(i)*3 + (j)]
-#define VOTE(i, j) ((i) == (j) || (B(i, j) != 0 && now < B(i, j) + LEASE))
-#define VOTES(i) (VOTE(i, 0) + VOTE(i, 1) + VOTE(i, 2))
-#define KNOWS(i, j) (VOTE(i, j) && !fresh[j])
-#if defined(MUTANT_ONE_INFORMED) || defined(MUTANT_EARLY_VOTE)
-#define ENOUGH(i) (VOTES(i) >= 2 && (KNOWS(i, 0) || KNOWS(i, 1) || KNOWS(i, 2)) || VOTES(i) == 3)
-#else
-#define ENOUGH(i) (KNOWS(i, 0) + KNOWS(i, 1) + KNOWS(i, 2) >= 2 || VOTES(i) == 3)
+#if defined(SHARE_1) || defined(LIVE)
+#define SHARE 1
+#elif defined(SHARE_0)
+#define SHARE 0
 #endif
-#define SUPPORTED(i) (holder[i] == (i) && ENOUGH(i))
-#define FREE(j, i) (holder[j] == NONE || holder[j] == (i) || now >= until[j])
-#ifdef MUTANT_EARLY_VOTE
-#define AWAKE(j) true
+#ifdef SHARE
+byte s = SHARE;                           /* the share that is looked at */
 #else
-#define AWAKE(j) (now >= quiet[j])
+byte s;
 #endif
-#ifdef MUTANT_NO_LEASE
-#define HOLDS(i) holding[i]
+byte heard[9], chain[9], acked[9], gone[9]; /* of pairs */
+bool leaving[3], dead[3];
+byte life[3];                             /* of the newest permit; 0 none, 1 expired */
+byte leaves, restarts;
+byte quiet[3], view[3], since[3], confirmed[3], list;
+
+#define P(i, j) ((i)*3 + (j))
+#define RANK(p, i) (((i) + 2*(p)) % 3)
+#define OF(p, r) (((r) + (p)) % 3)
+#define BETTER(p, k, i) (RANK(p, k) < RANK(p, i))
+#include "right.h"
+
+#ifdef LEAVES
+#define COUNTED 1
 #else
-#define HOLDS(i) (holding[i] && SUPPORTED(i))
+#define COUNTED 0
 #endif
 
-#if defined(MUTANT_KEEP_LAPSED) || defined(MUTANT_NO_LEASE)
-#define MAY_ASK(i) true
+/* What no right depends on is not kept. */
+#ifdef LISTS
+#define BEFORE(j, i) ((i) == OF(0, s) && BETTER(0, j, i) || (i) == OF(1, s) && BETTER(1, j, i))
+#define ASKS(i, j) ((i) == OF(0, 0) && (j) == OF(0, s) || (i) == OF(1, 0) && (j) == OF(1, s))
 #else
-#define MAY_ASK(i) (!holding[i] || SUPPORTED(i))
-#endif
-#ifdef MUTANT_NO_REPORT
-#define REPORTED(i) true
+#define BEFORE(j, i) ((j) < (i))
+#ifdef LEAVES
+#define ASKS(i, j) ((j) == s || BEFORE(j, i))
 #else
-#define REPORTED(i) known[i]
+#define ASKS(i, j) ((j) == s)
 #endif
-#ifdef MUTANT_NO_EXPIRY
-#define VALID(i) true
-#else
-#define VALID(i) (now < expiry[i])
 #endif
 
-inline raise(e, to) { if :: e < to -> e = to :: else fi }
+/* Host x hears from host y. */
+inline hear(x, y) {
+  if :: BEFORE(y, x) -> heard[P(x, y)] = 0 :: else fi;
+  if :: !leaving[y] -> gone[P(x, y)] = 0
+     :: leaving[y] && gone[P(x, y)] == 0 -> gone[P(x, y)] = 1
+     :: else fi
+}
 
-inline lose() {
-  holding[i] = 0; known[i] = 0; foreign[i] = 0; since[i] = 0; taken[i] = 0; acquired[i] = 0; gen[i] = 0
+/* Host i probes host j. */
+proctype Pair(byte i, j) {
+end:
+  do
+  :: atomic { !dead[i] && !dead[j] && acked[P(i, j)] == 0 ->
+       hear(j, i);
+       if :: hear(i, j); acked[P(i, j)] = ASKS(i, j) * (view[j] + 1) :: skip fi }  /* or the answer is lost */
+  od
 }
 
-proctype Claimant(byte i) {
-  byte j;
+proctype Host(byte i) {
 end:
   do
-  /* Asks; votes for itself. */
-  :: atomic { AWAKE(i) && FREE(i, i) && sent[i] != now && MAY_ASK(i) ->
-       sent[i] = now; holder[i] = i; until[i] = now + PROMISE }
-  /* An elector votes; its answer arrives. */
-  :: atomic { select (j : 0 .. 2);
-       if
-       :: j != i && sent[i] != 0 && AWAKE(j) && FREE(j, i) && B(i, j) != sent[i] ->
-          holder[j] = i; until[j] = now + PROMISE;
-          B(i, j) = sent[i]; raise(epoch[i], epoch[j]);
-          if :: holding[i] -> raise(epoch[j], acquired[i]); fresh[j] = 0 :: else -> raise(epoch[j], epoch[i] + 1) fi
-       :: else
-       fi; j = 0 }
-  :: atomic { !holding[i] && SUPPORTED(i) ->
-       holding[i] = 1; fresh[i] = 0; since[i] = now; gens++; gen[i] = gens;
-#ifndef MUTANT_NO_EPOCH
-       epoch[i]++;
+  :: atomic { RIGHT(i) && life[i] <= PERMIT ->
+       life[i] = PERMIT + 1; HOLD(within_slots, !OTHER(i)) }
+  :: atomic { VALID(i) -> HOLD(none_expired, life[i] > 1); life[i] = life[i] }
+#ifdef LEAVES
+  :: atomic { leaves < 1 && !leaving[i] -> leaving[i] = 1; leaves++ }
 #endif
-       acquired[i] = epoch[i] }
-#ifndef MUTANT_NO_LEASE
-  :: atomic { holding[i] && !SUPPORTED(i) -> lose() }
+#ifdef LISTS
+  :: atomic { confirmed[i] > 0 || view[i] != list ->
+       if :: view[i] != list ->
+             view[i] = list; since[i] = 0;
+#ifndef MUTANT_LATE_LIST
+             if :: confirmed[i] >= FRESH -> quiet[i] = QUIET :: else fi
 #endif
-#ifndef ORDERS
-  /* A report: measured now; it reaches the owner before the next. */
-  :: atomic { HOLDS(i) && !known[i] ->
-       foreign[i] = running - dispatched[i]; known[i] = 1 }
-  :: atomic { known[i] && foreign[i] > running - dispatched[i] -> foreign[i] = running - dispatched[i] }
-  /* Grants within the budget of one. */
-  :: atomic { HOLDS(i) && !taken[i] && !permit[i] && !dispatched[i] && foreign[i] == 0 && REPORTED(i) ->
-       taken[i] = 1; permit[i] = 1; expiry[i] = now + PERMIT;
-       HOLD(one_granter, !(permit[1-i] && now < expiry[1-i])) }
+          :: else fi;
+       confirmed[i] = 0 }
+#elif !defined(LIVE)
+  :: atomic { restarts < 1 -> restarts = restarts + COUNTED;
+       if :: i > 0 -> heard[P(i, 0)] = 0 :: else fi;
+       if :: i > 1 -> heard[P(i, 1)] = 0 :: else fi;
+       acked[P(i, 0)] = 0; acked[P(i, 1)] = 0; acked[P(i, 2)] = 0;
+       chain[P(i, 0)] = 0; chain[P(i, 1)] = 0; chain[P(i, 2)] = 0;
+       gone[P(i, 0)] = 0; gone[P(i, 1)] = 0; gone[P(i, 2)] = 0;
+       quiet[i] = QUIET; leaving[i] = 0 }
 #else
-  /* Sends an order. */
-  :: atomic { HOLDS(i) && order[i] == 0 -> order[i] = acquired[i]; ordergen[i] = gen[i] }
+  :: atomic { i == 0 && !dead[0] -> dead[0] = 1 }
 #endif
-  :: atomic { kills < KILLS -> kills++; lose(); sent[i] = 0;
-       B(i, 0) = 0; B(i, 1) = 0; B(i, 2) = 0;
-       holder[i] = NONE; until[i] = 0; epoch[i] = 0; fresh[i] = 1; quiet[i] = now + PROMISE }
   od
 }
 
-/* The entry host that holds the permits of owner i, and the endpoint. */
-proctype Entry(byte i) {
+proctype Clock() {
+  byte n;
 end:
   do
-#ifndef ORDERS
-  :: atomic { permit[i] && VALID(i) -> HOLD(none_expired, now < expiry[i]);
-       permit[i] = 0; expiry[i] = 0; dispatched[i] = 1; running++;
-       HOLD(cold_budget, running <= 1) }
-  :: atomic { permit[i] && now >= expiry[i] -> permit[i] = 0; expiry[i] = 0; taken[i] = 0 }
-  :: atomic { dispatched[i] -> dispatched[i] = 0; running--; taken[i] = 0 }
-#else
-  /* An order arrives at an endpoint that checks, at any time. */
-  :: atomic { order[i] != 0 ->
-       if
-#ifdef MUTANT_NO_FENCE
-       :: true ->
-#else
-       :: order[i] * 2 + i >= fence ->
+  :: d_step {
+       n = 0;
+       do
+       :: n < 9 ->
+          if :: heard[n] < STEPIN -> heard[n]++ :: else fi;
+          if :: acked[n] != 0 && chain[n] < PERMIT -> chain[n]++
+             :: acked[n] == 0 -> chain[n] = 0
+             :: else fi;
+          if :: gone[n] > 0 && gone[n] <= PERMIT -> gone[n]++ :: else fi;
+          acked[n] = 0; n++
+       :: else -> break
+       od;
+       n = 0;
+       do
+       :: n < 3 ->
+          if :: life[n] > 1 -> life[n]-- :: else fi;
+          if :: quiet[n] > 0 -> quiet[n]-- :: else fi;
+#ifdef LISTS
+          if :: confirmed[n] < FRESH -> confirmed[n]++ :: else fi;
+          if :: view[n] == 1 && since[n] < STEPIN -> since[n]++ :: else fi;
 #endif
-          HOLD(fence_kept, ordergen[i] >= accepted);
-          fence = order[i] * 2 + i; accepted = ordergen[i]
-       :: order[i] * 2 + i < fence ->
-          if :: holding[i] && ordergen[i] == gen[i] -> acquired[i] = fence/2 + 1; raise(epoch[i], acquired[i])
-             :: else fi
-       fi;
-       order[i] = 0; ordergen[i] = 0 }
+          n++
+       :: else -> break
+       od;
+       n = 0 }
+#ifdef LISTS
+  :: list == 0 -> list = 1
 #endif
   od
 }
 
-proctype Clock() {
-end:
-  do
-  :: now < START + TICKS -> now++
-  od
+init {
+  atomic {
+    #ifndef SHARE
+    if :: s = 0 :: s = 1 :: s = 2 fi;
+#endif
+    run Clock(); run Host(0); run Host(1); run Host(2);
+    run Pair(0, 1); run Pair(0, 2); run Pair(1, 0); run Pair(1, 2); run Pair(2, 0); run Pair(2, 1)
+  }
 }
 
-init { atomic { run Clock(); run Claimant(0); run Claimant(1); run Entry(0); run Entry(1) } }
+#ifdef LIVE
+/* When the best rank has died, the next one grants within its share. */
+ltl steps_in { (<> dead[0]) -> (<> (life[1] > 1)) }
+#endif
