--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -67,7 +67,6 @@
 	hosts     bbtfleet.HostList
 	places    *bbtowner.Map // over all hosts of the list
 	callers   *bbtowner.Map // over the hosts that callers may be sent to
-	answers   bbtowner.Answers
 	rights    *bbtowner.Rights
 	owned     []bbtfleet.Endpoint // with the slots that this host may fill
 	misplaced bool                // a host has changed since the roles were last told
@@ -218,7 +217,10 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
-	d.member.SetPartners(d.rights.Partners(now, d.contactsAt(now)))
+	if !d.keeper.Fresh(now) {
+		d.rights.Suspend(now)
+	}
+	d.member.SetPartners(d.rights.Partners(now, d.contact))
 	if d.misplaced {
 		d.place(now)
 	}
--- a/io/bbtdaemon/right.go
+++ b/io/bbtdaemon/right.go
@@ -28,27 +28,23 @@
 	if d.config == nil || !d.keeper.Fresh(now) {
 		return nil
 	}
-	contacts := d.contactsAt(now)
 	var owned []bbtfleet.Endpoint
 	for _, id := range d.rights.Endpoints(now) {
 		ep, ok := d.config.Endpoint(id)
 		if !ok || !d.config.Serves(id) {
 			continue
 		}
-		if n := d.rights.Slots(now, id, contacts); n > 0 {
+		if n := d.rights.Slots(now, id, d.contact); n > 0 {
 			owned = append(owned, ep.Limited(n))
 		}
 	}
 	return owned
 }
 
-// contactsAt returns what this host knows at now of others from their own
-// exchange.
-func (d *Daemon) contactsAt(now time.Time) bbtowner.Contacts {
-	return func(id bbtfleet.HostID) bbtowner.Contact {
-		c := d.member.Contact(id)
-		acked := d.answers.Note(now, id, c.Acked())
-		same := c.List() == d.hosts.Revision()
-		return bbtowner.NewContact(c.Heard(), acked, same, d.member.State(id) == bbtmember.Leaving)
-	}
+// contact returns what this host knows of another one from their own exchange.
+func (d *Daemon) contact(id bbtfleet.HostID) bbtowner.Contact {
+	c := d.member.Contact(id)
+	same := c.List() == d.hosts.Revision()
+	gone := d.member.State(id) == bbtmember.Leaving
+	return bbtowner.NewContact(c.Heard(), c.Acked(), same, gone).Answering(c.Answering())
 }
