--- a/cmd/bluebelltray/status.go
+++ b/cmd/bluebelltray/status.go
@@ -56,13 +56,25 @@
 	fmt.Fprintf(tw, "host list\t%d\n", s.HostList)
 	fmt.Fprintf(tw, "requests\t%d\n", s.Requests)
 	for _, o := range s.Owned {
-		fmt.Fprintf(tw, "owns\t%s\t%d of %d slots\n", o.Endpoint, o.Right, o.Slots)
+		fmt.Fprintf(tw, "owns\t%s\t%d of %d slots, %d permits out, %d foreign, room for %d%s\n",
+			o.Endpoint, o.Right, o.Slots, o.Outstanding, o.Foreign, o.Room, coldMark(o.Cold))
+	}
+	for _, q := range s.Queues {
+		fmt.Fprintf(tw, "queue\t%s\t%d waiting\n", q.Pool, q.Waiting)
 	}
 	for _, p := range s.Peers {
 		fmt.Fprintf(tw, "peer\t%s\t%s\t%s\n", p.Host, p.Zone, p.State)
 	}
 }
 
+// coldMark marks a cold endpoint.
+func coldMark(cold bool) string {
+	if cold {
+		return ", cold"
+	}
+	return ""
+}
+
 // readPage decodes one JSON page of a host.
 func readPage(addr, path string, v any) error {
 	c := http.Client{Timeout: statusTimeout}
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -233,6 +233,7 @@
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
+		d.gauge(now)
 	}
 	d.resumeDue(now)
 	if now.Sub(d.agentTold) >= agentPeriod {
--- a/io/bbtdaemon/status.go
+++ b/io/bbtdaemon/status.go
@@ -19,14 +19,25 @@
 	Refused       string            `json:"refused-configuration,omitempty"`
 	Requests      int               `json:"requests"`
 	Owned         []OwnedStatus     `json:"endpoints-owned"`
+	Queues        []QueueStatus     `json:"queues"`
 	Peers         []PeerStatus      `json:"peers"`
 }
 
-// OwnedStatus is an endpoint and how many of its slots the host may fill.
+// OwnedStatus is an endpoint whose slots the host may fill, and its budget.
 type OwnedStatus struct {
-	Endpoint bbtfleet.EndpointID `json:"endpoint"`
-	Right    int                 `json:"right"`
-	Slots    int                 `json:"slots"`
+	Endpoint    bbtfleet.EndpointID `json:"endpoint"`
+	Right       int                 `json:"right"`
+	Slots       int                 `json:"slots"`
+	Cold        bool                `json:"cold"`
+	Outstanding int                 `json:"outstanding-permits"`
+	Foreign     int                 `json:"foreign-requests"`
+	Room        int                 `json:"room"`
+}
+
+// QueueStatus is how many requests wait for a pool at the host as an owner.
+type QueueStatus struct {
+	Pool    bbtfleet.PoolID `json:"pool"`
+	Waiting int             `json:"waiting"`
 }
 
 // PeerStatus is what a host believes of another one.
@@ -75,20 +86,42 @@
 			s.Peers = append(s.Peers, PeerStatus{h.ID(), h.Zone(), d.member.State(h.ID()).String()})
 		}
 	}
-	s.Owned = d.ownedStatus()
+	s.Owned = d.ownedStatus(now)
+	s.Queues = d.queues()
 	return s
 }
 
 // ownedStatus returns the endpoints that this host may fill slots of.
-func (d *Daemon) ownedStatus() []OwnedStatus {
-	var owned []OwnedStatus
+func (d *Daemon) ownedStatus(now time.Time) []OwnedStatus {
+	rights := make(map[bbtfleet.EndpointID]int, len(d.owned))
 	for _, limited := range d.owned {
-		ep, _ := d.config.Endpoint(limited.ID())
-		owned = append(owned, OwnedStatus{ep.ID(), limited.Slots(), ep.Slots()})
+		rights[limited.ID()] = limited.Slots()
+	}
+	var owned []OwnedStatus
+	for _, e := range d.owner.Endpoints(now) {
+		ep, _ := d.config.Endpoint(e.Endpoint())
+		owned = append(owned, OwnedStatus{
+			Endpoint:    e.Endpoint(),
+			Right:       rights[e.Endpoint()],
+			Slots:       ep.Slots(),
+			Cold:        e.Cold(),
+			Outstanding: e.Outstanding(),
+			Foreign:     e.Foreign(),
+			Room:        e.Room(),
+		})
 	}
 	return owned
 }
 
+// queues returns how many requests wait for each pool at this host.
+func (d *Daemon) queues() []QueueStatus {
+	var queues []QueueStatus
+	for _, p := range d.owner.Pools() {
+		queues = append(queues, QueueStatus{p.Pool(), p.Waiting()})
+	}
+	return queues
+}
+
 // StatusPage answers with the status as JSON.
 func (d *Daemon) StatusPage() http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
