bbtdaemon: a caller that leaves is no crash, and leaves nothing behind

Cause, found by tests with a fake backend in a synctest bubble: - A caller that left in mid-stream closed the endpoint's connection, and the read error that followed was taken for the endpoint's death: its request was suspected of crashing endpoints and the owner was told that the dispatch was lost. Two callers leaving could so get a harmless request banned. - cancelJob dropped a job whose dispatch was under way, so that its claim was never released at the guard and later copies of the request were held; the tokens it had used were given back to the account as unused. - A caller that left before the head got no verdict while the dispatch, refused through its own leaving, was tried again and again. - A caller that left while its request waited again after a lost dispatch was counted as not-run. - Only repeats after a crash were counted as retries; now each repeated dispatch counts under the reason of the one before.

Now a dispatch under way is left to end, and its end settles claim, tokens and permit. Its end counts as cancelled if the caller had left when it was seen, not when it is handled: a caller leaves because its answer broke off, too.

bbtdaemon.New takes the connections to peers as an interface, which *bbtpeer.Node meets, so that a daemon runs in a bubble without sockets.

--- a/io/bbtdaemon/attempt.go
+++ b/io/bbtdaemon/attempt.go
@@ -67,6 +67,7 @@
 		d.step(now, bbtexec.Finished{Call: id, Dispatch: number, Answer: ev.answer})
 	case err.Verdict() == bbtverdict.NotRun:
 		outcome.Kind = bbtgrant.Refused
+		j.last = err
 		d.counters.Add("dispatch-failures", 1)
 		d.step(now, bbtexec.NotSent{Call: id, Dispatch: number})
 	default:
--- a/io/bbtdaemon/claim.go
+++ b/io/bbtdaemon/claim.go
@@ -117,6 +117,5 @@
 		return
 	}
 	j.crashes++
-	d.counters.Retried(bbtverdict.ReasonEndpointLost)
 	d.claim(now, j, contract)
 }
--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -50,7 +50,7 @@
 	log      *zap.Logger
 	counters *bbtmetric.Counters
 	platform bluebelltray.Platform
-	peers    *bbtpeer.Node
+	peers    peers
 	seeds    []bbtfleet.Host
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
@@ -119,8 +119,8 @@
 func WithSeeds(hosts []bbtfleet.Host) Option { return func(d *Daemon) { d.seeds = hosts } }
 
 // New returns a daemon on a host of the availability zone zone. It takes no
-// requests before it has a view. It owns peers; Close ends both.
-func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
+// requests before it has a view. It owns node, which is a *bbtpeer.Node; Close ends both.
+func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, node peers, opts ...Option) *Daemon {
 	start := time.Now()
 	incarnation := uint64(start.UnixNano())
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
@@ -132,7 +132,7 @@
 		log:      zap.NewNop(),
 		counters: bbtmetric.New(),
 		platform: platform,
-		peers:    peers,
+		peers:    node,
 		backend:  bbthttp.NewBackend(),
 		loads:    bbthttp.NewLoadReader(loadTimeout),
 		lifetime: defaultLifetime,
@@ -155,8 +155,8 @@
 		opt(d)
 	}
 	d.keeper = bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse), bbtview.WithSeeds(names(d.seeds)...))
-	peers.SetHosts(d.seeds)
-	in := &inbox{daemon: d, node: peers}
+	node.SetHosts(d.seeds)
+	in := &inbox{daemon: d, node: node}
 	d.done.Go(in.run)
 	d.done.Go(d.run)
 	return d
--- /dev/null
+++ b/io/bbtdaemon/daemon_test.go
@@ -0,0 +1,406 @@
+package bbtdaemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtconfig"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtgrant"
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/io/bbthttp"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cockroachdb/errors"
+)
+
+// alone are the connections of a host without peers.
+type alone struct{}
+
+func (alone) SetHosts([]bbtfleet.Host)            {}
+func (alone) Send(bbtfleet.HostID, any) bool      { return false }
+func (alone) Reset(bbtfleet.HostID)               {}
+func (alone) Inbox() <-chan bbtpeer.Inbound       { return nil }
+func (alone) Exchanges() <-chan *bbtpeer.Exchange { return nil }
+func (alone) Lost() <-chan bbtfleet.HostID        { return nil }
+func (alone) Close() error                        { return nil }
+
+func (alone) Open(context.Context, bbtfleet.HostID) (*bbtpeer.Exchange, error) {
+	return nil, bbtpeer.ErrUnknownHost
+}
+
+// published is a platform that never changes.
+type published struct {
+	values map[string][]byte
+	hosts  bbtfleet.HostList
+}
+
+func (p published) Read(_ context.Context, key string) (bbtfleet.Value, error) {
+	data, ok := p.values[key]
+	if !ok {
+		return bbtfleet.Value{}, errors.Newf("no key %s", key)
+	}
+	return bbtfleet.NewValue(1, data), nil
+}
+
+func (p published) Watch(ctx context.Context, _ string, _ bbtfleet.Revision) (bbtfleet.Value, error) {
+	<-ctx.Done()
+	return bbtfleet.Value{}, ctx.Err()
+}
+
+func (p published) Hosts(context.Context) (bbtfleet.HostList, error) { return p.hosts, nil }
+
+// backend is a bluebelltray.Backend that answers as it is told.
+type backend struct {
+	do func(ctx context.Context, n int) (bluebelltray.Answer, error)
+
+	mu   sync.Mutex
+	used []bbtfleet.EndpointID
+}
+
+func (b *backend) Do(ctx context.Context, ep bbtfleet.Endpoint, _ bluebelltray.Call, _ time.Time) (bluebelltray.Answer, error) {
+	b.mu.Lock()
+	b.used = append(b.used, ep.ID())
+	n := len(b.used)
+	b.mu.Unlock()
+	return b.do(ctx, n)
+}
+
+// endpoints returns where calls were sent, in order.
+func (b *backend) endpoints() []bbtfleet.EndpointID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used
+}
+
+// stream is an answer that sends its pieces and then ends with err, or with the
+// connection's closing if err is nil.
+type stream struct {
+	ctx    context.Context
+	pieces []string
+	err    error
+	closed bool
+}
+
+func (*stream) Status() int                       { return http.StatusOK }
+func (*stream) ContentType() string               { return "text/event-stream" }
+func (*stream) Incarnation() bbtfleet.Incarnation { return 1 }
+
+func (s *stream) Read(p []byte) (int, error) {
+	if len(s.pieces) > 0 {
+		n := copy(p, s.pieces[0])
+		s.pieces = s.pieces[1:]
+		return n, nil
+	}
+	if s.err == nil {
+		<-s.ctx.Done()
+		return 0, bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointLost, bbtverdict.WithCause(s.ctx.Err()))
+	}
+	return 0, s.err
+}
+
+func (s *stream) Close() error {
+	s.closed = true
+	return nil
+}
+
+// startDaemon returns a daemon that serves alone with two engines of one slot
+// each.
+func startDaemon(t *testing.T, b *backend) *Daemon {
+	t.Helper()
+	manifest, parts := bbtconfig.Publish(1, bbtfleet.NewConfiguration(bbtfleet.Version{},
+		bbtfleet.WithZones(bbtfleet.NewZone("z", "r", false)),
+		bbtfleet.WithEndpoints(engine("e0", "127.0.0.1:1"), engine("e1", "127.0.0.1:2")),
+		bbtfleet.WithContracts(bbtfleet.NewContract("kitchen", 1,
+			bbtfleet.WithDeadline(time.Minute), bbtfleet.WithRepeatable("m", 2)))))
+	p := published{values: map[string][]byte{bbtconfig.ManifestKey: manifest}}
+	for _, part := range parts {
+		p.values[part.Key()] = part.Data()
+	}
+	p.hosts = bbtfleet.NewHostList(1, []bbtfleet.Host{bbtfleet.NewHost("h", "z",
+		bbtfleet.WithPeerAddr("127.0.0.1:9"), bbtfleet.WithCallerAddr("127.0.0.1:8"))})
+	d := New("h", "z", p, alone{}, WithBackend(b), WithAddressLifetime(2*time.Second))
+	t.Cleanup(d.Close)
+	<-time.After(20 * time.Second)
+	if s := d.Status(); !s.Serving || len(s.Owned) != 2 {
+		t.Fatalf("got status %+v, want a serving owner of both engines", s)
+	}
+	for _, id := range []bbtfleet.EndpointID{"e0", "e1"} {
+		d.post(reported{bbtgrant.LoadReport{Endpoint: id, Incarnation: 1, Served: 1000, At: time.Now()}})
+	}
+	synctest.Wait()
+	return d
+}
+
+// engine returns a model engine at an address where nobody listens, so that its
+// load reports come from the test alone.
+func engine(id bbtfleet.EndpointID, addr string) bbtfleet.Endpoint {
+	return bbtfleet.NewEndpoint(id, "z", bbtfleet.ModelEngine, "m", bbtfleet.WithAddr(addr), bbtfleet.WithSlots(1))
+}
+
+// submit sends a request and returns its whole answer.
+func submit(ctx context.Context, d *Daemon, prompt string) (string, error) {
+	ans, err := d.Submit(ctx, bbthttp.NewRequest("kitchen", "m", http.MethodPost, "/v1/completions", bbthttp.WithTokens(1, 4),
+		bbthttp.WithContent("application/json", []byte(prompt))))
+	if err != nil {
+		return "", err
+	}
+	defer ans.Close()
+	data, err := io.ReadAll(ans)
+	return string(data), err
+}
+
+// submitLater sends a request in the background.
+func submitLater(ctx context.Context, d *Daemon, prompt string) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := submit(ctx, d, prompt)
+		result <- err
+	}()
+	synctest.Wait()
+	return result
+}
+
+// checkVerdict checks the verdict and the reason of err.
+func checkVerdict(t *testing.T, err error, v bbtverdict.Verdict, r bbtverdict.Reason) {
+	t.Helper()
+	if got, want := bbtverdict.Of(err), v; got != want {
+		t.Errorf("got verdict %v (%v), want %v", got, err, want)
+	}
+	if got, want := bbtverdict.As(err, "").Reason(), r; got != want {
+		t.Errorf("got reason %v, want %v", got, want)
+	}
+}
+
+// checkIdle checks that the daemon holds nothing of the request "c", whose
+// caller left: no claim, no permit, so that it and another one fill both
+// engines.
+func checkIdle(t *testing.T, d *Daemon, b *backend) {
+	t.Helper()
+	synctest.Wait()
+	if got, want := d.Status().Requests, 0; got != want {
+		t.Errorf("got %d requests held, want %d", got, want)
+	}
+	before := len(b.endpoints())
+	ctx, cancel := context.WithCancel(t.Context())
+	b.do = func(ctx context.Context, _ int) (bluebelltray.Answer, error) { return &stream{ctx: ctx}, nil }
+	first, second := submitLater(ctx, d, "c"), submitLater(ctx, d, "y")
+	<-time.After(time.Second)
+	if got, want := len(b.endpoints())-before, 2; got != want {
+		t.Errorf("got %d of two slots filled, want %d", got, want)
+	}
+	cancel()
+	<-first
+	<-second
+	if got, want := d.Counters().Get("crashes-suspected"), int64(0); got != want {
+		t.Errorf("got %d crashes suspected, want %d", got, want)
+	}
+}
+
+func TestCallerLeavesWhileWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) { return &stream{ctx: ctx}, nil }}
+		d := startDaemon(t, b)
+		running, end := context.WithCancel(t.Context())
+		first, second := submitLater(running, d, "a"), submitLater(running, d, "b")
+		ctx, leave := context.WithCancel(t.Context())
+		third := submitLater(ctx, d, "c")
+		leave()
+		checkVerdict(t, <-third, bbtverdict.NotRun, bbtverdict.ReasonCancelled)
+		end()
+		<-first
+		<-second
+		<-time.After(time.Second)
+		if got, want := len(b.endpoints()), 2; got != want {
+			t.Errorf("got %d dispatches, want %d: none for the caller that left", got, want)
+		}
+		if got, want := d.Counters().Get("grants"), int64(2); got != want {
+			t.Errorf("got %d permits, want %d: none for a withdrawn registration", got, want)
+		}
+		checkIdle(t, d, b)
+	})
+}
+
+func TestCallerLeavesWhileStreaming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var streams []*stream
+		b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) {
+			s := &stream{ctx: ctx, pieces: []string{"data: x\n\n"}}
+			streams = append(streams, s)
+			return s, nil
+		}}
+		d := startDaemon(t, b)
+		ctx, leave := context.WithCancel(t.Context())
+		result := submitLater(ctx, d, "c")
+		leave()
+		if got, want := bbtverdict.Of(<-result), bbtverdict.MayHaveRun; got != want {
+			t.Errorf("got verdict %v, want %v", got, want)
+		}
+		synctest.Wait()
+		if len(streams) != 1 || !streams[0].closed {
+			t.Errorf("got %d streams with the first one open, want one, closed", len(streams))
+		}
+		checkIdle(t, d, b)
+	})
+}
+
+func TestCallerLeavesBeforeTheHead(t *testing.T) {
+	for _, want := range []bbtverdict.Verdict{bbtverdict.NotRun, bbtverdict.MayHaveRun} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) {
+				<-ctx.Done()
+				return nil, bbtverdict.New(want, bbtverdict.ReasonEndpointLost, bbtverdict.WithCause(ctx.Err()))
+			}}
+			d := startDaemon(t, b)
+			ctx, leave := context.WithCancel(t.Context())
+			result := submitLater(ctx, d, "c")
+			leave()
+			synctest.Wait()
+			select {
+			case err := <-result:
+				checkVerdict(t, err, want, bbtverdict.ReasonEndpointLost)
+			default:
+				t.Error("got no verdict, want one at once")
+			}
+			<-time.After(2 * time.Second)
+			if got, want := len(b.endpoints()), 1; got != want {
+				t.Errorf("got %d dispatches, want %d", got, want)
+			}
+			checkIdle(t, d, b)
+		})
+	}
+}
+
+func TestCallerLeavesAfterALostDispatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{do: func(ctx context.Context, n int) (bluebelltray.Answer, error) {
+			if n == 2 {
+				return nil, bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointSilent)
+			}
+			return &stream{ctx: ctx}, nil
+		}}
+		d := startDaemon(t, b)
+		running, end := context.WithCancel(t.Context())
+		first := submitLater(running, d, "a")
+		ctx, leave := context.WithCancel(t.Context())
+		lost := submitLater(ctx, d, "b")
+		leave()
+		checkVerdict(t, <-lost, bbtverdict.MayHaveRun, bbtverdict.ReasonCancelled)
+		end()
+		<-first
+	})
+}
+
+func TestRefusedDispatchGoesToAnotherEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{do: func(ctx context.Context, n int) (bluebelltray.Answer, error) {
+			if n == 1 {
+				return nil, bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonEndpointRefused)
+			}
+			return &stream{ctx: ctx, pieces: []string{"data: [DONE]\n\n"}, err: io.EOF}, nil
+		}}
+		d := startDaemon(t, b)
+		got, err := submit(t.Context(), d, "a")
+		if err != nil || !strings.Contains(got, "[DONE]") {
+			t.Fatalf("got %q (%v), want the whole answer", got, err)
+		}
+		if used := b.endpoints(); len(used) != 2 || used[0] == used[1] {
+			t.Errorf("got dispatches to %v, want one to each engine", used)
+		}
+		if got, want := d.Counters().Retries(bbtverdict.ReasonEndpointRefused), int64(1); got != want {
+			t.Errorf("got %d retries counted, want %d", got, want)
+		}
+	})
+}
+
+func TestAnswerThatBreaksOffIsNotRepeated(t *testing.T) {
+	for reason, crashes := range map[bbtverdict.Reason]int64{
+		bbtverdict.ReasonAnswerIncomplete: 1,
+		bbtverdict.ReasonEndpointSilent:   0,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) {
+				lost := bbtverdict.New(bbtverdict.MayHaveRun, reason)
+				return &stream{ctx: ctx, pieces: []string{"data: x\n\n"}, err: lost}, nil
+			}}
+			d := startDaemon(t, b)
+			got, err := submit(t.Context(), d, "a")
+			checkVerdict(t, err, bbtverdict.MayHaveRun, reason)
+			if want := "data: x\n\n"; got != want {
+				t.Errorf("got %q, want %q", got, want)
+			}
+			<-time.After(10 * time.Second)
+			if got, want := len(b.endpoints()), 1; got != want {
+				t.Errorf("got %d dispatches, want %d", got, want)
+			}
+			if got, want := d.Counters().Get("crashes-suspected"), crashes; got != want {
+				t.Errorf("got %d crashes suspected, want %d", got, want)
+			}
+		})
+	}
+}
+
+func TestDrainWaitsForLifetimeAndRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) { return &stream{ctx: ctx}, nil }}
+		d := startDaemon(t, b)
+		ctx, end := context.WithCancel(t.Context())
+		running := submitLater(ctx, d, "c")
+		begun := time.Now()
+		drained := make(chan bool, 1)
+		go func() { drained <- d.Drain(t.Context()) }()
+		<-time.After(d.lifetime + drainLearn + 5*time.Second)
+		select {
+		case <-drained:
+			t.Error("got a drained host with a request running, want it to wait")
+		default:
+		}
+		end()
+		<-running
+		if got, want := <-drained, true; got != want {
+			t.Errorf("got drained %v, want %v", got, want)
+		}
+		if got, least := time.Since(begun), d.lifetime+drainLearn; got < least {
+			t.Errorf("got drained after %v, want at least %v", got, least)
+		}
+	})
+}
+
+func TestIdleDrainWaitsForTheLifetime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := startDaemon(t, &backend{})
+		begun := time.Now()
+		if got, want := d.Drain(t.Context()), true; got != want {
+			t.Errorf("got drained %v, want %v", got, want)
+		}
+		if got, least := time.Since(begun), d.lifetime+drainLearn; got < least {
+			t.Errorf("got drained after %v, want at least %v", got, least)
+		}
+	})
+}
+
+func TestDrainEndsWithItsContext(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &backend{do: func(ctx context.Context, _ int) (bluebelltray.Answer, error) { return &stream{ctx: ctx}, nil }}
+		d := startDaemon(t, b)
+		running, end := context.WithCancel(t.Context())
+		result := submitLater(running, d, "a")
+		ctx, cut := context.WithTimeout(t.Context(), time.Second)
+		defer cut()
+		begun := time.Now()
+		if got, want := d.Drain(ctx), false; got != want {
+			t.Errorf("got drained %v, want %v", got, want)
+		}
+		if got, want := time.Since(begun), time.Second; got != want {
+			t.Errorf("got an end after %v, want %v", got, want)
+		}
+		end()
+		<-result
+	})
+}
--- a/io/bbtdaemon/dispatch.go
+++ b/io/bbtdaemon/dispatch.go
@@ -1,7 +1,6 @@
 package bbtdaemon
 
 import (
-	"context"
 	"io"
 	"time"
 
@@ -28,7 +27,7 @@
 		x.fail(bbtverdict.As(err, bbtverdict.ReasonEndpointLost))
 		return
 	}
-	tracked := &trackedAnswer{Answer: ans, daemon: x.daemon, id: x.job.id}
+	tracked := &trackedAnswer{Answer: ans, daemon: x.daemon, job: x.job}
 	if !x.job.finish(result{answer: tracked}) {
 		tracked.Close()
 	}
@@ -38,11 +37,11 @@
 func (x *dispatch) fail(err *bbtverdict.Error) {
 	kind := bbtgrant.Lost
 	switch {
-	case err.Verdict() == bbtverdict.NotRun:
-		kind = bbtgrant.Refused
-	case errors.Is(x.job.ctx.Err(), context.Canceled):
+	case x.job.ctx.Err() != nil:
 		kind = bbtgrant.Cancelled
 		x.job.refuse(err)
+	case err.Verdict() == bbtverdict.NotRun:
+		kind = bbtgrant.Refused
 	}
 	ev := finished{id: x.job.id, outcome: bbtroute.Outcome{Kind: kind}, crashed: brokenOff(kind, err)}
 	x.daemon.post(failed{ev, err})
@@ -62,11 +61,16 @@
 
 // apply remembers why the dispatch failed before the routing decides on.
 func (ev failed) apply(d *Daemon, now time.Time) {
-	if j := d.jobs[ev.id]; j != nil {
+	j := d.jobs[ev.id]
+	if j != nil {
 		j.last, j.dispatched = ev.err, false
+		j.mayHaveRun = j.mayHaveRun || ev.err.Verdict() == bbtverdict.MayHaveRun
 		d.counters.Add("dispatch-failures", 1)
 	}
 	ev.finished.apply(d, now)
+	if j != nil && j.ctx.Err() != nil {
+		d.cancelJob(now, j)
+	}
 	if d.jobs[ev.id] != nil {
 		d.counters.Retried(ev.err.Reason())
 	}
@@ -76,7 +80,7 @@
 type trackedAnswer struct {
 	bluebelltray.Answer
 	daemon   *Daemon
-	id       bbtgrant.RequestID
+	job      *job
 	progress bool
 	ended    bool
 	tokens   int
@@ -87,13 +91,15 @@
 	n, err := a.Answer.Read(p)
 	if n > 0 && !a.progress {
 		a.progress = true
-		a.daemon.post(firstToken{a.id})
+		a.daemon.post(firstToken{a.job.id})
 	}
 	a.tokens += countEvents(p[:n])
 	switch {
 	case err == nil:
 	case errors.Is(err, io.EOF):
 		a.end(bbtgrant.Finished, nil)
+	case a.job.ctx.Err() != nil:
+		a.end(bbtgrant.Cancelled, nil)
 	default:
 		a.end(bbtgrant.Lost, err)
 	}
@@ -114,7 +120,7 @@
 	}
 	a.ended = true
 	a.daemon.post(finished{
-		id:      a.id,
+		id:      a.job.id,
 		outcome: bbtroute.Outcome{Kind: kind, Output: a.tokens},
 		started: true,
 		crashed: brokenOff(kind, bbtverdict.As(err, bbtverdict.ReasonEndpointLost)),
--- a/io/bbtdaemon/event.go
+++ b/io/bbtdaemon/event.go
@@ -65,7 +65,7 @@
 		d.conclude(now, j, ev)
 	}
 	d.doEntry(now, d.entry.Finished(now, ev.id, ev.outcome))
-	if ev.started {
+	if ev.started || ev.outcome.Kind == bbtgrant.Cancelled {
 		delete(d.jobs, ev.id)
 		d.doEntry(now, d.entry.Cancel(now, ev.id))
 	}
--- a/io/bbtdaemon/inbox.go
+++ b/io/bbtdaemon/inbox.go
@@ -12,7 +12,7 @@
 // inbox passes a node's messages and exchanges to its daemon.
 type inbox struct {
 	daemon *Daemon
-	node   *bbtpeer.Node
+	node   peers
 }
 
 // run passes messages on until the daemon is closed.
--- a/io/bbtdaemon/job.go
+++ b/io/bbtdaemon/job.go
@@ -23,6 +23,7 @@
 	target     bbtsuspect.Crash  // the endpoint of the last dispatch, as a crash would name it
 	crashes    int               // dispatches that may have taken an endpoint down
 	dispatched bool              // a dispatch is under way
+	mayHaveRun bool              // a dispatch that may have run was lost
 	last       *bbtverdict.Error // how the latest dispatch failed
 }
 
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -127,25 +127,27 @@
 }
 
 // cancelJob ends a request whose caller has left. A dispatch that is under way
-// ends by itself, since its context has ended.
+// ends by itself, since its context has ended, and then settles the rest.
 func (d *Daemon) cancelJob(now time.Time, j *job) {
 	if j.call != nil {
 		d.step(now, bbtexec.CallerGone{Call: j.call.id})
 		j.refuse(bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonCancelled))
 		return
 	}
-	d.settle(now, j, 0)
-	if d.jobs[j.id] != j {
-		d.release(now, j, false)
-		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
+	if j.dispatched {
 		return
 	}
-	delete(d.jobs, j.id)
-	d.doEntry(now, d.entry.Cancel(now, j.id))
-	if !j.dispatched {
-		d.release(now, j, false)
-		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
+	if d.jobs[j.id] == j {
+		delete(d.jobs, j.id)
+		d.doEntry(now, d.entry.Cancel(now, j.id))
+	}
+	d.settle(now, j, 0)
+	d.release(now, j, false)
+	verdict := bbtverdict.NotRun
+	if j.mayHaveRun {
+		verdict = bbtverdict.MayHaveRun
 	}
+	j.refuse(bbtverdict.New(verdict, bbtverdict.ReasonCancelled))
 }
 
 // refuse ends the job without an answer.
--- a/io/bbtmetric/counters.go
+++ b/io/bbtmetric/counters.go
@@ -59,6 +59,9 @@
 // Refusals returns the count of the given reason.
 func (c *Counters) Refusals(r bbtverdict.Reason) int64 { return intOf(c.refusals.Get(string(r))) }
 
+// Retries returns how many dispatches were repeated for the given reason.
+func (c *Counters) Retries(r bbtverdict.Reason) int64 { return intOf(c.retries.Get(string(r))) }
+
 // ServeHTTP answers with all metrics as one JSON object.
 func (c *Counters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
