--- a/internal/bbtstandin/engine.go
+++ b/internal/bbtstandin/engine.go
@@ -97,7 +97,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
-	for i := range max(req.MaxTokens, 1) {
+	for i := resumeFrom(r); i < max(req.MaxTokens, 1); i++ {
 		if e.batch.current() != life || !wait(r, e.scale(e.speed.BetweenTokens)) {
 			panic(http.ErrAbortHandler)
 		}
@@ -113,6 +113,15 @@
 	e.batch.finished(life)
 }
 
+// resumeFrom returns the token from which a broken-off stream goes on.
+func resumeFrom(r *http.Request) int {
+	n, err := strconv.Atoi(r.Header.Get(HeaderResume))
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
 // answerWhole sends all tokens as one JSON object.
 func (e *Engine) answerWhole(w http.ResponseWriter, r *http.Request, req CompletionRecord, life uint64) {
 	n := max(req.MaxTokens, 1)
