bbtview: hosts that start together read the host list from the start on

Each host's first wait after a start was half to one and a half of the others, 200 s to 600 s at 400 hosts, so that nobody read the list from the start to 200 s after it. A zone that died then stayed in the list that hosts had: an endpoint without rights for 19.6 s, bound 12 s (zone-restart, 400 hosts, 150 s after the start). The first wait is now any part of the others.

Seen to fail: the former wait (TestHostListIsReadSoonAfterACommonStart: 0 reads in 10 s, want 3 or more).

--- a/core/bbtview/reading.go
+++ b/core/bbtview/reading.go
@@ -34,6 +34,7 @@
 	nextWatch    time.Time
 	nextManifest time.Time
 	nextHosts    time.Time
+	inTurn       bool   // the host has its turn among the readers of the host list
 	part         string // key of the part being read, empty if none
 	partSent     time.Time
 }
@@ -123,10 +124,17 @@
 }
 
 // hostsWait returns the time to the next read of the host list, so that all
-// hosts together read it about once every hostsPeriod.
+// hosts together read it about once every hostsPeriod. The first wait under a
+// host list is any part of the others, so that hosts that start together do so
+// too.
 func (k *Keeper) hostsWait() time.Duration {
 	n := len(k.Hosts().Hosts())
-	return k.around(max(time.Duration(n)*hostsPeriod, minHostsPeriod))
+	d := max(time.Duration(n)*hostsPeriod, minHostsPeriod)
+	if n > 0 && !k.reading.inTurn {
+		k.reading.inTurn = true
+		return time.Duration(k.rng.Int64N(int64(d)))
+	}
+	return k.around(d)
 }
 
 // manifestDue reports whether the host reads the manifest itself at now.
--- a/core/bbtview/reads_test.go
+++ b/core/bbtview/reads_test.go
@@ -90,6 +90,24 @@
 	}
 }
 
+func TestHostListIsReadSoonAfterACommonStart(t *testing.T) {
+	const window = 10 * time.Second
+	keepers := serving(zoned(400, 7), publish(7, "a"))
+	reads := make(map[time.Duration]int)
+	for now := begin; now.Before(begin.Add(7 * window)); now = now.Add(bbtview.TickInterval) {
+		for _, k := range keepers {
+			if has[bbtview.ReadHosts](k.Tick(now)) {
+				reads[now.Sub(begin).Truncate(window)]++
+			}
+		}
+	}
+	for at := window; at < 7*window; at += window { // all hosts read at the start
+		if got, least, most := reads[at], 3, 30; got < least || got > most {
+			t.Errorf("got %d reads from %v for %v, want %d to %d", got, at, window, least, most)
+		}
+	}
+}
+
 func TestHostListDeltaMakesTheSameList(t *testing.T) {
 	a, b := newKeeper("h0"), newKeeper("h1")
 	take(a, begin, publish(7, "a"))
