--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -34,6 +34,7 @@
 	eventQueue      = 4096
 	tickPeriod      = 50 * time.Millisecond
 	execPeriod      = time.Second
+	wakeLeast       = time.Millisecond
 	secretBytes     = 32
 	agentPeriod     = 200 * time.Millisecond
 	loadPeriod      = 500 * time.Millisecond
@@ -49,7 +50,7 @@
 	log      *zap.Logger
 	counters *bbtmetric.Counters
 	platform bluebelltray.Platform
-	peers    *bbtpeer.Node
+	peers    peers
 	seeds    []bbtfleet.Host
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
@@ -59,34 +60,41 @@
 	cancel   context.CancelFunc
 	done     sync.WaitGroup
 
-	keeper     *bbtview.Keeper
-	member     *bbtmember.Member
-	entry      *bbtroute.Entry
-	owner      *bbtgrant.Owner
-	config     *bbtfleet.Configuration
-	hosts      bbtfleet.HostList
-	places     *bbtowner.Map // over all hosts of the list
-	callers    *bbtowner.Map // over the hosts that callers may be sent to
-	ranked     []ranked
-	placed     time.Time // since when the host list has been in force
-	placedList bbtfleet.Revision
-	misplaced  bool // a host has changed since the roles were last told
-	leaving    bool
-	jobs       map[bbtgrant.RequestID]*job
-	lastID     bbtgrant.RequestID
-	exec       *bbtexec.Executor
-	calls      map[bbtexec.CallID]*call
-	lastCall   bbtexec.CallID
-	limiter    *bbtlimit.Limiter
-	held       map[bbtfleet.AccountID][]held
-	agent      *bbtsuspect.Agent
-	claims     map[bbtsuspect.CallID]*claim
-	lastClaim  bbtsuspect.CallID
-	asked      time.Time // when the agent was told the time last
-	second     time.Time // when the executor was told the time last
-	local      []any
-	pollers    map[bbtfleet.EndpointID]*poller
-	asking     *bbtpeer.Exchange // of the peer's question at hand
+	// The view, and who owns what under it.
+	keeper    *bbtview.Keeper
+	member    *bbtmember.Member
+	config    *bbtfleet.Configuration
+	hosts     bbtfleet.HostList
+	places    *bbtowner.Map // over all hosts of the list
+	callers   *bbtowner.Map // over the hosts that callers may be sent to
+	rights    *bbtowner.Rights
+	owned     []bbtfleet.Endpoint // with the slots that this host may fill
+	misplaced bool                // a host has changed since the roles were last told
+	asking    *bbtpeer.Exchange   // of the peer's question at hand
+	leaving   bool
+
+	// Requests, from their admission to their dispatch.
+	limiter   *bbtlimit.Limiter
+	held      map[bbtfleet.AccountID][]held
+	agent     *bbtsuspect.Agent
+	agentTold time.Time // when the agent was told the time last
+	claims    map[bbtsuspect.CallID]*claim
+	lastClaim bbtsuspect.CallID
+	entry     *bbtroute.Entry
+	jobs      map[bbtgrant.RequestID]*job
+	lastID    bbtgrant.RequestID
+
+	// Calls that run at most once.
+	exec     *bbtexec.Executor
+	execTold time.Time // when the executor was told the time last
+	calls    map[bbtexec.CallID]*call
+	lastCall bbtexec.CallID
+
+	// The owner role.
+	owner   *bbtgrant.Owner
+	pollers map[bbtfleet.EndpointID]*poller
+
+	local []any // messages to this host itself
 }
 
 // Option sets an optional part of a Daemon.
@@ -109,8 +117,8 @@
 func WithSeeds(hosts []bbtfleet.Host) Option { return func(d *Daemon) { d.seeds = hosts } }
 
 // New returns a daemon on a host of the availability zone zone. It takes no
-// requests before it has a view. It owns peers; Close ends both.
-func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
+// requests before it has a view. It owns node, which is a *bbtpeer.Node; Close ends both.
+func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, node peers, opts ...Option) *Daemon {
 	start := time.Now()
 	incarnation := uint64(start.UnixNano())
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
@@ -122,7 +130,7 @@
 		log:      zap.NewNop(),
 		counters: bbtmetric.New(),
 		platform: platform,
-		peers:    peers,
+		peers:    node,
 		backend:  bbthttp.NewBackend(),
 		loads:    bbthttp.NewLoadReader(loadTimeout),
 		lifetime: defaultLifetime,
@@ -135,6 +143,7 @@
 		exec:     newExecutor(id, bbtfleet.Incarnation(incarnation), start),
 		calls:    make(map[bbtexec.CallID]*call),
 		limiter:  bbtlimit.New(id),
+		rights:   bbtowner.NewRights(id),
 		held:     make(map[bbtfleet.AccountID][]held),
 		agent:    bbtsuspect.NewAgent(id, bbtfleet.Incarnation(incarnation), keyHome),
 		claims:   make(map[bbtsuspect.CallID]*claim),
@@ -145,8 +154,8 @@
 		opt(d)
 	}
 	d.keeper = bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse), bbtview.WithSeeds(names(d.seeds)...))
-	peers.SetHosts(d.seeds)
-	in := &inbox{daemon: d, node: peers}
+	node.SetHosts(d.seeds)
+	in := &inbox{daemon: d, node: node}
 	d.done.Go(in.run)
 	d.done.Go(d.run)
 	return d
@@ -184,6 +193,8 @@
 func (d *Daemon) run() {
 	ticks := time.NewTicker(tickPeriod)
 	defer ticks.Stop()
+	wake := time.NewTimer(tickPeriod)
+	defer wake.Stop()
 	now := time.Now()
 	d.doView(now, d.keeper.Start(now))
 	for {
@@ -192,10 +203,13 @@
 			return
 		case ev := <-d.events:
 			ev.apply(d, time.Now())
-		case now := <-ticks.C:
-			d.tick(now)
+		case <-ticks.C:
+			d.tick(time.Now())
+		case <-wake.C:
+			d.tickRoles(time.Now())
 		}
 		d.deliverLocal(time.Now())
+		wake.Reset(d.untilWake(time.Now()))
 	}
 }
 
@@ -203,6 +217,10 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
+	if !d.keeper.Fresh(now) {
+		d.rights.Suspend(now)
+	}
+	d.member.SetPartners(d.rights.Partners(now, d.contact))
 	if d.misplaced {
 		d.place(now)
 	}
@@ -210,21 +228,38 @@
 	if d.keeper.Fresh(now) {
 		d.doOwner(now, d.owner.Confirm(now))
 	}
-	if now.Sub(d.second) >= execPeriod {
-		d.second = now
+	if now.Sub(d.execTold) >= execPeriod {
+		d.execTold = now
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
+		d.gauge(now)
 	}
 	d.resumeDue(now)
-	if now.Sub(d.asked) >= agentPeriod {
-		d.asked = now
+	if now.Sub(d.agentTold) >= agentPeriod {
+		d.agentTold = now
 		d.stepAgent(now, bbtsuspect.Tick{})
 	}
+	d.tickRoles(now)
+}
+
+// tickRoles does what is due for requests and permits.
+func (d *Daemon) tickRoles(now time.Time) {
 	d.doEntry(now, d.entry.Tick(now))
 	d.doOwner(now, d.owner.Tick(now))
 }
 
+// untilWake returns the time until a request or permit needs attention.
+func (d *Daemon) untilWake(now time.Time) time.Duration {
+	wait := tickPeriod
+	for _, next := range []time.Time{d.entry.Next(), d.owner.Next()} {
+		if !next.IsZero() {
+			wait = min(wait, next.Sub(now))
+		}
+	}
+	return max(wait, wakeLeast)
+}
+
 // post passes an event to run, waiting for room; it reports false once the
 // daemon is closed.
 func (d *Daemon) post(ev event) bool {
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -9,12 +9,8 @@
 	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtroute"
 	"bluebelltray/core/bbtverdict"
-	"github.com/cespare/xxhash/v2"
 )
 
-// prefixBytes is how much of a prompt identifies its prefix.
-const prefixBytes = 1024
-
 // overloadedRetry is when a caller should come again to a host that is short of
 // room.
 const overloadedRetry = time.Second
@@ -102,18 +98,22 @@
 
 // routed returns the request as the routing decisions see it.
 func routed(now time.Time, j *job, c bbtfleet.Contract) bbtroute.Request {
-	body := j.req.Body()
+	var deadline time.Time
+	if c.Deadline() > 0 {
+		deadline = now.Add(c.Deadline())
+	}
 	return bbtroute.Request{
-		ID:       j.id,
-		Pool:     j.req.Pool(),
-		Account:  j.req.Account(),
-		Tier:     c.Tier(),
-		Deadline: now.Add(c.Deadline()),
-		Prompt:   j.req.PromptTokens(),
-		Output:   j.req.MaxTokens(),
-		Prefix:   xxhash.Sum64(body[:min(len(body), prefixBytes)]),
-		Repeats:  j.repeats(c),
-		Alone:    j.alone,
+		ID:           j.id,
+		Pool:         j.req.Pool(),
+		Account:      j.req.Account(),
+		Tier:         c.Tier(),
+		Deadline:     deadline,
+		Prompt:       j.req.PromptTokens(),
+		Output:       j.req.MaxTokens(),
+		Prefix:       j.req.Prefix(),
+		PrefixTokens: j.req.PrefixTokens(),
+		Repeats:      j.repeats(c),
+		Alone:        j.alone,
 	}
 }
 
@@ -127,25 +127,27 @@
 }
 
 // cancelJob ends a request whose caller has left. A dispatch that is under way
-// ends by itself, since its context has ended.
+// ends by itself, since its context has ended, and then settles the rest.
 func (d *Daemon) cancelJob(now time.Time, j *job) {
 	if j.call != nil {
 		d.step(now, bbtexec.CallerGone{Call: j.call.id})
 		j.refuse(bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonCancelled))
 		return
 	}
-	d.settle(now, j, 0)
-	if d.jobs[j.id] != j {
-		d.release(now, j, false)
-		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
+	if j.dispatched {
 		return
 	}
-	delete(d.jobs, j.id)
-	d.doEntry(now, d.entry.Cancel(now, j.id))
-	if !j.dispatched {
-		d.release(now, j, false)
-		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonCancelled))
+	if d.jobs[j.id] == j {
+		delete(d.jobs, j.id)
+		d.doEntry(now, d.entry.Cancel(now, j.id))
+	}
+	d.settle(now, j, 0)
+	d.release(now, j, false)
+	verdict := bbtverdict.NotRun
+	if j.mayHaveRun {
+		verdict = bbtverdict.MayHaveRun
 	}
+	j.refuse(bbtverdict.New(verdict, bbtverdict.ReasonCancelled))
 }
 
 // refuse ends the job without an answer.
