bbtdaemon: count each repeated dispatch once

It counted retries at the next dispatch, while failed.apply counts them already, so that TestRefusedDispatchGoesToAnotherEndpoint got two.

--- a/io/bbtdaemon/action.go
+++ b/io/bbtdaemon/action.go
@@ -107,9 +107,6 @@
 		d.doEntry(now, d.entry.Finished(now, a.Request, outcome))
 		return
 	}
-	if j.last != nil {
-		d.counters.Retried(j.last.Reason())
-	}
 	j.target = bbtsuspect.Crash{Endpoint: ep.ID(), Incarnation: a.Permit.Incarnation}
 	d.stepAgent(now, bbtsuspect.Begin{Call: j.claim, Endpoint: ep.ID()})
 	x := dispatch{daemon: d, job: j, endpoint: ep, notAfter: d.start.Add(a.Permit.Expiry)}
