--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -50,7 +50,7 @@
 	log      *zap.Logger
 	counters *bbtmetric.Counters
 	platform bluebelltray.Platform
-	peers    *bbtpeer.Node
+	peers    peers
 	seeds    []bbtfleet.Host
 	backend  bluebelltray.Backend
 	loads    *bbthttp.LoadReader
@@ -67,7 +67,6 @@
 	hosts     bbtfleet.HostList
 	places    *bbtowner.Map // over all hosts of the list
 	callers   *bbtowner.Map // over the hosts that callers may be sent to
-	answers   bbtowner.Answers
 	rights    *bbtowner.Rights
 	owned     []bbtfleet.Endpoint // with the slots that this host may fill
 	misplaced bool                // a host has changed since the roles were last told
@@ -118,8 +117,8 @@
 func WithSeeds(hosts []bbtfleet.Host) Option { return func(d *Daemon) { d.seeds = hosts } }
 
 // New returns a daemon on a host of the availability zone zone. It takes no
-// requests before it has a view. It owns peers; Close ends both.
-func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, peers *bbtpeer.Node, opts ...Option) *Daemon {
+// requests before it has a view. It owns node, which is a *bbtpeer.Node; Close ends both.
+func New(id bbtfleet.HostID, zone bbtfleet.ZoneID, platform bluebelltray.Platform, node peers, opts ...Option) *Daemon {
 	start := time.Now()
 	incarnation := uint64(start.UnixNano())
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(id))))
@@ -131,7 +130,7 @@
 		log:      zap.NewNop(),
 		counters: bbtmetric.New(),
 		platform: platform,
-		peers:    peers,
+		peers:    node,
 		backend:  bbthttp.NewBackend(),
 		loads:    bbthttp.NewLoadReader(loadTimeout),
 		lifetime: defaultLifetime,
@@ -155,8 +154,8 @@
 		opt(d)
 	}
 	d.keeper = bbtview.New(id, zone, rng, bbtview.WithParsers(p.parseManifest, p.parse), bbtview.WithSeeds(names(d.seeds)...))
-	peers.SetHosts(d.seeds)
-	in := &inbox{daemon: d, node: peers}
+	node.SetHosts(d.seeds)
+	in := &inbox{daemon: d, node: node}
 	d.done.Go(in.run)
 	d.done.Go(d.run)
 	return d
@@ -218,7 +217,10 @@
 func (d *Daemon) tick(now time.Time) {
 	d.doMember(now, d.member.Tick(now, d.keeper.Digest(now)))
 	d.doView(now, d.keeper.Tick(now))
-	d.member.SetPartners(d.rights.Partners(now, d.contactsAt(now)))
+	if !d.keeper.Fresh(now) {
+		d.rights.Suspend(now)
+	}
+	d.member.SetPartners(d.rights.Partners(now, d.contact))
 	if d.misplaced {
 		d.place(now)
 	}
@@ -231,6 +233,7 @@
 		d.step(now, bbtexec.Tick{})
 		d.pruneCalls()
 		d.limiter.Tick(now)
+		d.gauge(now)
 	}
 	d.resumeDue(now)
 	if now.Sub(d.agentTold) >= agentPeriod {
