--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -61,17 +61,18 @@
 	done     sync.WaitGroup
 
 	// The view, and who owns what under it.
-	keeper    *bbtview.Keeper
-	member    *bbtmember.Member
-	config    *bbtfleet.Configuration
-	hosts     bbtfleet.HostList
-	places    *bbtowner.Map // over all hosts of the list
-	callers   *bbtowner.Map // over the hosts that callers may be sent to
-	rights    *bbtowner.Rights
-	owned     []bbtfleet.Endpoint // with the slots that this host may fill
-	misplaced bool                // a host has changed since the roles were last told
-	asking    *bbtpeer.Exchange   // of the peer's question at hand
-	leaving   bool
+	keeper     *bbtview.Keeper
+	member     *bbtmember.Member
+	config     *bbtfleet.Configuration
+	hosts      bbtfleet.HostList
+	places     *bbtowner.Map // over all hosts of the list
+	callers    *bbtowner.Map // over the hosts that callers may be sent to
+	rights     *bbtowner.Rights
+	owned      []bbtfleet.Endpoint // with the slots that this host may fill
+	misplaced  bool                // a host has changed since the roles were last told
+	asking     *bbtpeer.Exchange   // of the peer's question at hand
+	leaving    bool
+	announceAt time.Time // when peers are told that the host leaves; zero for not
 
 	// Requests, from their admission to their dispatch.
 	limiter   *bbtlimit.Limiter
@@ -220,6 +221,7 @@
 	if !d.keeper.Fresh(now) {
 		d.rights.Suspend(now)
 	}
+	d.announceLeave(now)
 	d.member.SetPartners(d.rights.Partners(now, d.contact))
 	if d.misplaced {
 		d.place(now)
--- a/io/bbtdaemon/drain.go
+++ b/io/bbtdaemon/drain.go
@@ -16,7 +16,7 @@
 
 	// drainLearn is how long peers may go on naming a host that has said it
 	// leaves.
-	drainLearn = 3 * time.Second
+	drainLearn = bbtowner.GrantFor + 3*time.Second
 )
 
 // Drain makes the host leave: callers are no longer sent to it, its endpoints
@@ -48,18 +48,29 @@
 // leaving says that the host starts to drain.
 type leaving struct{}
 
+// apply stops all grants. Peers hear of it once the last grants have run out,
+// since they take the host's share of slots as soon as they do.
 func (leaving) apply(d *Daemon, now time.Time) {
 	if d.leaving {
 		return
 	}
 	d.leaving = true
+	d.announceAt = now.Add(bbtowner.GrantFor)
 	d.log.Info("draining")
 	d.step(now, bbtexec.Drain{})
-	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
 	d.rights.Leave()
 	d.place(now)
 }
 
+// announceLeave tells peers that the host leaves, when it is time.
+func (d *Daemon) announceLeave(now time.Time) {
+	if d.announceAt.IsZero() || now.Before(d.announceAt) {
+		return
+	}
+	d.announceAt = time.Time{}
+	d.doMember(now, d.member.Leave(now, d.keeper.Digest(now)))
+}
+
 // counted asks how many requests the daemon holds.
 type counted struct{ reply chan<- int }
 
