--- a/internal/proofcheck/search.go
+++ b/internal/proofcheck/search.go
@@ -22,15 +22,35 @@
 		if sec.Name() == ini.DefaultSection {
 			continue
 		}
-		model, err := os.ReadFile(filepath.Join(spec, sec.Key("model").String()))
+		model, err := readModel(filepath.Join(spec, sec.Key("model").String()))
 		if err != nil {
 			return errors.Wrap(err, sec.Name())
 		}
-		t.addSearch(sec, string(model))
+		t.addSearch(sec, model)
 	}
 	return nil
 }
 
+// included finds the files that a model includes.
+var included = regexp.MustCompile(`(?m)^#include "([^"]+)"$`)
+
+// readModel returns a model's text, followed by that of the files it includes.
+func readModel(path string) (string, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", err
+	}
+	model := string(data)
+	for _, m := range included.FindAllStringSubmatch(model, -1) {
+		part, err := os.ReadFile(filepath.Join(filepath.Dir(path), m[1]))
+		if err != nil {
+			return "", err
+		}
+		model += string(part)
+	}
+	return model, nil
+}
+
 // addSearch adds one search of a model.
 func (t *tree) addSearch(sec *ini.Section, model string) {
 	t.searches[sec.Name()] = true
