bbtapp: a second signal cuts at once

Cause: the second SIGTERM ended the drain alone. The server's orderly stop that followed then waited its 5 s for the streams, and the process ended with status 1 and 'context deadline exceeded' (seen in the new process test). Now the second signal closes the callers' connections first; the process ends with status 0.

TestStopCutsNothingAndASecondSignalEverything: SIGTERM with 15 streams through three hosts on 8 slots, so that requests wait, cuts none; then the second signal. It failed on the code before (second part) and when the first signal closes the server (first part).

--- a/io/bbtapp/app.go
+++ b/io/bbtapp/app.go
@@ -30,6 +30,7 @@
 	settings *bbtsettings.Settings
 	log      *zap.Logger
 	daemon   *bbtdaemon.Daemon
+	server   *bbthttp.Server
 	kratos   *kratos.App
 	ctx      context.Context
 	cut      context.CancelFunc
@@ -71,7 +72,7 @@
 		bbtdaemon.WithSeeds(s.Seeds()))
 	a := &App{settings: s, log: log, daemon: daemon}
 	a.ctx, a.cut = context.WithCancel(context.Background())
-	srv := bbthttp.NewServer(daemon, counters,
+	a.server = bbthttp.NewServer(daemon, counters,
 		bbthttp.WithListener(l),
 		bbthttp.WithLimits(limits(s)),
 		bbthttp.WithPage("/status", daemon.StatusPage()),
@@ -80,7 +81,7 @@
 		bbthttp.WithPage("/debug/vars", counters))
 	a.kratos = kratos.New(
 		kratos.Name("bluebelltray"),
-		kratos.Server(srv),
+		kratos.Server(a.server),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(stopMargin),
 		kratos.BeforeStop(a.drain))
@@ -112,16 +113,19 @@
 func (a *App) Daemon() *bbtdaemon.Daemon { return a.daemon }
 
 // drain waits until the host's requests have ended, the drain time has passed,
-// or a second signal comes.
+// or a second signal comes, which cuts all callers off.
 func (a *App) drain(context.Context) error {
-	ctx, stop := signal.NotifyContext(a.ctx, os.Interrupt, syscall.SIGTERM)
+	signalled, stop := signal.NotifyContext(a.ctx, os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	ctx, cancel := context.WithTimeout(ctx, a.settings.DrainTime())
+	ctx, cancel := context.WithTimeout(signalled, a.settings.DrainTime())
 	defer cancel()
 	if a.daemon.Drain(ctx) {
 		a.log.Info("drained")
 		return nil
 	}
 	a.log.Warn("drain ended early", zap.Int("requests", a.daemon.Status().Requests))
+	if signalled.Err() != nil {
+		return a.server.Close()
+	}
 	return nil
 }
