bbtprocess: one host cut off from two serves on, and calls run once

A forwarder of UDP packets stands between the hosts, which can be told to drop either direction of each pair.

Mutations that broke it: a network that drops nothing (the cut is never noticed), tickets not passed to the executor (not-run in place of the answer).

--- a/internal/bbtprocess/fleet.go
+++ b/internal/bbtprocess/fleet.go
@@ -36,6 +36,7 @@
 	endpoints []bbtfleet.Endpoint
 	records   []bbtstandin.HostRecord
 	processes map[string]*Process
+	network   *Network // nil if peers reach one another directly
 	revision  bbtfleet.Revision
 }
 
@@ -70,6 +71,9 @@
 // Process returns the process of the given name, nil if there is none.
 func (f *Fleet) Process(name string) *Process { return f.processes[name] }
 
+// SetNetwork puts a network between the hosts that are added from then on.
+func (f *Fleet) SetNetwork(n *Network) { f.network = n }
+
 // AddEndpoint starts a stand-in with the given arguments as an endpoint.
 func (f *Fleet) AddEndpoint(id bbtfleet.EndpointID, zone bbtfleet.ZoneID, kind bbtfleet.Kind, pool bbtfleet.PoolID, slots int, args ...string) error {
 	p, err := startStandin(f.log, f.binaries.standin, args...)
@@ -93,8 +97,14 @@
 	if err != nil {
 		return err
 	}
+	reached := peer
+	if f.network != nil {
+		if reached, err = f.network.Add(id, peer); err != nil {
+			return err
+		}
+	}
 	f.records = append(f.records, bbtstandin.HostRecord{
-		ID: string(id), Zone: string(zone), PeerAddress: peer, CallerAddress: caller, State: "live",
+		ID: string(id), Zone: string(zone), PeerAddress: reached, CallerAddress: caller, State: "live",
 	})
 	if err := f.writeSettings(id, zone, caller, peer); err != nil {
 		return err
--- a/internal/bbtprocess/fleet_test.go
+++ b/internal/bbtprocess/fleet_test.go
@@ -54,6 +54,12 @@
 // startFleet starts platform, two engines, one plain service and three entry
 // hosts and waits until all serve.
 func startFleet(ctx context.Context, t *testing.T) *bbtprocess.Fleet {
+	t.Helper()
+	return startFleetOn(ctx, t, nil)
+}
+
+// startFleetOn starts the same fleet with a network between the hosts.
+func startFleetOn(ctx context.Context, t *testing.T, n *bbtprocess.Network) *bbtprocess.Fleet {
 	t.Helper()
 	if testing.Short() {
 		t.Skip("starts processes")
@@ -64,6 +70,7 @@
 	f, err := bbtprocess.NewFleet(dir, b, logWriter{t})
 	must(t, err)
 	t.Cleanup(f.Close)
+	f.SetNetwork(n)
 	must(t, f.AddEndpoint("engine-0", "edin-a", bbtfleet.ModelEngine, poolModel, 4, "engine", "--slots=4"))
 	must(t, f.AddEndpoint("engine-1", "falkirk-a", bbtfleet.ModelEngine, poolModel, 4, "engine", "--slots=4"))
 	must(t, f.AddEndpoint("service-0", "edin-a", bbtfleet.PlainService, poolService, 4, "service"))
