--- a/internal/conform/ownership_test.go
+++ b/internal/conform/ownership_test.go
@@ -353,8 +353,8 @@
 	}
 }
 
-// With hosts that count on a leave once permits from before it have expired,
-// which the daemon does not wait for: see KNOWN-RED.txt.
+// A leave counts once permits from before it have expired: a host stops its
+// grants and says that it leaves GrantFor later.
 func TestPermitsKeepWithinTheSlots(t *testing.T) {
 	play(t, "150", bbtowner.GrantFor, WithinSlots)
 }
