--- a/internal/proofcheck/check.go
+++ b/internal/proofcheck/check.go
@@ -13,7 +13,7 @@
 )
 
 // steps are the commands that test.sh has to run.
-var steps = []string{"go test -race ./...", "go run ./internal/speccheck", "go run ./internal/proofcheck"}
+var steps = []string{"go test -race -count=1 -timeout 15m ./...", "go run ./internal/speccheck", "go run ./internal/proofcheck"}
 
 // check returns the faults of the page against the tree.
 func (d *document) check(t *tree) []string {
