--- a/core/bbtroute/entry.go
+++ b/core/bbtroute/entry.go
@@ -107,8 +107,8 @@
 	return append(out, e.withdraw(j)...)
 }
 
-// Shedded records that an owner no longer holds the registration.
-func (e *Entry) Shedded(now time.Time, from bbtfleet.HostID, s bbtgrant.Shed) []Action {
+// WasShed records that an owner no longer holds the registration.
+func (e *Entry) WasShed(now time.Time, from bbtfleet.HostID, s bbtgrant.Shed) []Action {
 	j := e.jobs[s.Request]
 	if j == nil || !j.drop(from) {
 		return nil
--- a/core/bbtroute/owner_test.go
+++ b/core/bbtroute/owner_test.go
@@ -17,7 +17,7 @@
 	e.View(now, []bbtroute.Target{{Endpoint: ep, Owner: "entry-2"}})
 	e.Submit(now, bbtroute.Request{ID: 1, Pool: "summary", Tier: 1, Deadline: now.Add(2 * time.Second)})
 	shed := bbtgrant.Shed{Request: 1, Reason: bbtverdict.ReasonNoOwner}
-	if got := e.Shedded(now, "entry-2", shed); len(got) != 0 {
+	if got := e.WasShed(now, "entry-2", shed); len(got) != 0 {
 		t.Fatalf("got %+v, want a request that waits", got)
 	}
 	now = now.Add(time.Second)
@@ -29,7 +29,7 @@
 		t.Errorf("got %+v, want a registration", again[0])
 	}
 	now = now.Add(time.Second)
-	for _, a := range append(e.Shedded(now, "entry-2", shed), e.Tick(now)...) {
+	for _, a := range append(e.WasShed(now, "entry-2", shed), e.Tick(now)...) {
 		if r, ok := a.(bbtroute.Refuse); ok {
 			if got, want := r.Err.Reason(), bbtverdict.ReasonDeadline; got != want {
 				t.Errorf("got reason %v, want %v", got, want)
--- a/internal/conform/withdraw_test.go
+++ b/internal/conform/withdraw_test.go
@@ -83,7 +83,7 @@
 		case bbtgrant.Grant:
 			p.net = append(p.net, func() { p.route(p.entry.Granted(p.now, from, a.Permit)) })
 		case bbtgrant.Shed:
-			p.net = append(p.net, func() { p.route(p.entry.Shedded(p.now, from, a)) })
+			p.net = append(p.net, func() { p.route(p.entry.WasShed(p.now, from, a)) })
 		}
 	}
 }
--- a/internal/measure/baseline.go
+++ b/internal/measure/baseline.go
@@ -160,7 +160,7 @@
 }
 
 func (d *direct) Granted(time.Time, bbtfleet.HostID, bbtgrant.Permit) []bbtroute.Action { return nil }
-func (d *direct) Shedded(time.Time, bbtfleet.HostID, bbtgrant.Shed) []bbtroute.Action   { return nil }
+func (d *direct) WasShed(time.Time, bbtfleet.HostID, bbtgrant.Shed) []bbtroute.Action   { return nil }
 func (d *direct) FirstToken(time.Time, bbtgrant.RequestID) []bbtroute.Action            { return nil }
 func (d *direct) HostLost(time.Time, bbtfleet.HostID) []bbtroute.Action                 { return nil }
 func (d *direct) Tick(time.Time) []bbtroute.Action                                      { return nil }
--- a/internal/measure/host.go
+++ b/internal/measure/host.go
@@ -107,7 +107,7 @@
 			})
 		case bbtgrant.Shed:
 			h.w.carry(h, a.To, a, func(peer *host) {
-				peer.entry(peer.policy.Shedded(h.w.now, h.id, a))
+				peer.entry(peer.policy.WasShed(h.w.now, h.id, a))
 			})
 		}
 	}
--- a/io/bbtdaemon/action.go
+++ b/io/bbtdaemon/action.go
@@ -78,7 +78,7 @@
 	case bbtgrant.Permit:
 		d.doEntry(now, d.entry.Granted(now, from, m))
 	case bbtgrant.Shed:
-		d.doEntry(now, d.entry.Shedded(now, from, m))
+		d.doEntry(now, d.entry.WasShed(now, from, m))
 	case bbtlimit.Message:
 		d.receiveLimits(now, from, m)
 	case bbtsuspect.Message:
--- a/policy.go
+++ b/policy.go
@@ -20,8 +20,8 @@
 	// Granted records a permit from an owner.
 	Granted(now time.Time, from bbtfleet.HostID, p bbtgrant.Permit) []bbtroute.Action
 
-	// Shedded records that an owner no longer holds a registration.
-	Shedded(now time.Time, from bbtfleet.HostID, s bbtgrant.Shed) []bbtroute.Action
+	// WasShed records that an owner no longer holds a registration.
+	WasShed(now time.Time, from bbtfleet.HostID, s bbtgrant.Shed) []bbtroute.Action
 
 	// Cancel ends a request whose caller has left.
 	Cancel(now time.Time, id bbtgrant.RequestID) []bbtroute.Action
