--- a/io/bbtdaemon/daemon.go
+++ b/io/bbtdaemon/daemon.go
@@ -64,6 +64,7 @@
 	keeper     *bbtview.Keeper
 	member     *bbtmember.Member
 	config     *bbtfleet.Configuration
+	pools      map[bbtfleet.PoolID]bbtfleet.Kind
 	hosts      bbtfleet.HostList
 	places     *bbtowner.Map // over all hosts of the list
 	callers    *bbtowner.Map // over the hosts that callers may be sent to
--- a/io/bbtdaemon/daemon_test.go
+++ b/io/bbtdaemon/daemon_test.go
@@ -24,8 +24,9 @@
 	manifest, parts := bbtconfig.Publish(1, bbtfleet.NewConfiguration(bbtfleet.Version{},
 		bbtfleet.WithZones(bbtfleet.NewZone("z", "r", false)),
 		bbtfleet.WithEndpoints(engine("e0", "127.0.0.1:1"), engine("e1", "127.0.0.1:2")),
-		bbtfleet.WithContracts(bbtfleet.NewContract("kitchen", 1,
-			bbtfleet.WithDeadline(time.Minute), bbtfleet.WithRepeatable("m", 2)))))
+		bbtfleet.WithContracts(
+			bbtfleet.NewContract("kitchen", 1, bbtfleet.WithDeadline(time.Minute), bbtfleet.WithRepeatable("m", 2)),
+			bbtfleet.NewContract("guest", 2, bbtfleet.WithDeadline(time.Minute)))))
 	p := published{values: map[string][]byte{bbtconfig.ManifestKey: manifest}}
 	for _, part := range parts {
 		p.values[part.Key()] = part.Data()
--- a/io/bbtdaemon/submit.go
+++ b/io/bbtdaemon/submit.go
@@ -67,13 +67,18 @@
 		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownAccount))
 		return
 	}
+	if _, ok := d.pools[j.req.Pool()]; !ok {
+		j.refuse(bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonUnknownPool))
+		return
+	}
 	context.AfterFunc(j.ctx, func() { d.post(cancelled{j}) })
 	d.counters.Add("requests", 1)
 	d.admit(now, j)
 }
 
-// begin starts an admitted job: through the executor unless the contract allows
-// the call to be repeated.
+// begin starts an admitted job. A call that its contract does not allow to be
+// repeated goes through the executor if it goes to a plain service or names a
+// ticket or a key; a model call without either is dispatched once.
 func (d *Daemon) begin(now time.Time, j *job) {
 	contract, ok := d.config.Contract(j.req.Account())
 	if !ok {
@@ -81,7 +86,8 @@
 		return
 	}
 	repeatable := contract.Repeats(j.req.Pool()) > 0
-	if repeatable && j.req.Ticket() == "" {
+	free := repeatable || d.pools[j.req.Pool()] == bbtfleet.ModelEngine && j.req.Key() == ""
+	if free && j.req.Ticket() == "" {
 		d.claim(now, j, contract)
 		return
 	}
--- /dev/null
+++ b/io/bbtdaemon/unlisted_test.go
@@ -0,0 +1,46 @@
+package bbtdaemon
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+	"bluebelltray/io/bbthttp"
+)
+
+// callAs sends a call of an account to a pool and returns its error.
+func callAs(ctx context.Context, d *Daemon, a bbtfleet.AccountID, pool bbtfleet.PoolID, opts ...bbthttp.RequestOption) error {
+	opts = append(opts, bbthttp.WithTokens(1, 4))
+	ans, err := d.Submit(ctx, bbthttp.NewRequest(a, pool, http.MethodPost, "/", opts...))
+	if err != nil {
+		return err
+	}
+	defer ans.Close()
+	_, err = io.ReadAll(ans)
+	return err
+}
+
+func TestModelCallsThatMayNotBeRepeatedRunOnceWithoutATicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lost := bbtverdict.New(bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointSilent)
+		b := &backend{do: func(context.Context, int) (bluebelltray.Answer, error) { return nil, lost }}
+		d := startDaemon(t, b)
+		checkVerdict(t, callAs(t.Context(), d, "guest", "m"), bbtverdict.MayHaveRun, bbtverdict.ReasonEndpointSilent)
+		if got, want := len(b.endpoints()), 1; got != want {
+			t.Errorf("got %d dispatches, want %d", got, want)
+		}
+	})
+}
+
+func TestUnknownPoolTakesNoTicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := startDaemon(t, &backend{})
+		err := callAs(t.Context(), d, "guest", "nowhere", bbthttp.WithKey("order-1", bbthttp.FirstAttempt))
+		checkVerdict(t, err, bbtverdict.NotRun, bbtverdict.ReasonUnknownPool)
+	})
+}
--- a/io/bbtdaemon/view.go
+++ b/io/bbtdaemon/view.go
@@ -81,6 +81,10 @@
 func (d *Daemon) takeConfiguration(now time.Time, cfg *bbtfleet.Configuration) {
 	d.config = cfg
 	d.limiter.SetContracts(cfg)
+	d.pools = make(map[bbtfleet.PoolID]bbtfleet.Kind)
+	for _, ep := range cfg.Endpoints() {
+		d.pools[ep.Pool()] = ep.Kind()
+	}
 	d.counters.Set("configuration-revision", int64(cfg.Version().Revision()))
 	d.log.Info("configuration in force", zap.Stringer("version", cfg.Version()))
 	d.rank(now)
