bbtpeer: a suspected host keeps its old connection for answers under way

Cause (trace of TestCutHostsServeOnAndRunCallsOnce, one run of two): 200 ms after a cut healed, a probe from before it made one host suspect another, and closing the connection broke off a forwarded call: may-have-run, which was honest but needless. The next message goes out on a new connection; the old one is closed when the host is dead or idle.

--- a/io/bbtpeer/link.go
+++ b/io/bbtpeer/link.go
@@ -148,6 +148,13 @@
 	return true
 }
 
+// detach makes the link send on a new connection.
+func (l *link) detach() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.conn, l.stream = nil, nil
+}
+
 // close ends the link's connection, if there is one.
 func (l *link) close(why string) {
 	l.mu.Lock()
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -149,14 +149,14 @@
 	return true
 }
 
-// Reset closes the connection to a host, so that the next message uses a new
-// one.
+// Reset makes the next message to a host use a new connection. The old one,
+// which may have gone silent, still brings the answers that are under way.
 func (n *Node) Reset(host bbtfleet.HostID) {
 	n.mu.Lock()
 	l := n.links[host]
 	n.mu.Unlock()
 	if l != nil {
-		l.close("reset")
+		l.detach()
 	}
 }
 
