--- /dev/null
+++ b/cmd/bluebelltray/edge.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"os"
+
+	"bluebelltray/io/bbtapp"
+	"bluebelltray/io/bbtedge"
+	"bluebelltray/io/bbtlog"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/platform"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// edgeCmd runs an entry host on the users' platform.
+type edgeCmd struct {
+	Boot string `env:"BLUEBELLTRAY_BOOT" required:"" type:"path" placeholder:"FILE" help:"The settings file that the platform writes."`
+}
+
+// Run serves until a signal ends the process.
+func (c *edgeCmd) Run() error {
+	s, err := platform.LoadBoot(c.Boot)
+	if err != nil {
+		return &exitError{code: exitUnusable, err: err}
+	}
+	ring := bbtlog.New(os.Stdout, zapcore.InfoLevel)
+	defer ring.Close()
+	log := ring.Logger()
+	counters := bbtmetric.New()
+	source := platform.NewStore(s.Platform, func(key string, err error) {
+		counters.Add("platform-entries-unreadable", 1)
+		log.Warn("entry of the platform ignored", zap.String("key", key), zap.Error(err))
+	})
+	app, err := bbtapp.NewEdge(s, source, platform.Dialect{}, pages, log, counters)
+	if err != nil {
+		return err
+	}
+	return app.Run()
+}
+
+// pages makes the platform's pages for a host.
+func pages(e *bbtedge.Edge) bbtapp.Pages {
+	return bbtapp.Pages{Directory: platform.Directory(e), Ready: platform.Ready(e)}
+}
--- a/cmd/bluebelltray/main.go
+++ b/cmd/bluebelltray/main.go
@@ -13,6 +13,7 @@
 // cli is the command line.
 type cli struct {
 	Serve  serveCmd  `cmd:"" help:"Run an entry host."`
+	Edge   edgeCmd   `cmd:"" help:"Run an entry host on a platform that publishes routes and servers."`
 	Check  checkCmd  `cmd:"" help:"Check settings and configuration files and explain contracts."`
 	Demo   demoCmd   `cmd:"" help:"Run platform stand-in, endpoints, entry hosts and callers in one process and show goodput by tier."`
 	Send   sendCmd   `cmd:"" help:"Send a request as a caller does and print the answer."`
--- /dev/null
+++ b/core/bbtcatalog/config.go
@@ -0,0 +1,97 @@
+// Package bbtcatalog holds what the platform publishes, in the project's own
+// types, and decides which state of it is in force.
+package bbtcatalog
+
+import (
+	"strings"
+	"time"
+)
+
+// Config is one published version of routes, services, client accounts and
+// limits on callers. It must not be changed once it is in use.
+type Config struct {
+	Version  int64     `cbor:"1,keyasint"`
+	Routes   []Route   `cbor:"2,keyasint"`
+	Services []Service `cbor:"3,keyasint"`
+	Accounts []Account `cbor:"4,keyasint,omitempty"`
+	Keyed    bool      `cbor:"5,keyasint,omitempty"` // requests carry keys unless their route is public
+	Limits   Limits    `cbor:"6,keyasint"`
+}
+
+// Limits bounds what a caller may send, and how slowly.
+type Limits struct {
+	HeaderBytes int           `cbor:"1,keyasint"`
+	BodyBytes   int64         `cbor:"2,keyasint"`
+	HeaderTime  time.Duration `cbor:"3,keyasint"`
+	IdleTime    time.Duration `cbor:"4,keyasint"`
+}
+
+// Index finds the routes, services and accounts of a Config.
+type Index struct {
+	config   *Config
+	routes   map[string][]*Route // by host name
+	services map[string]*Service
+	accounts map[string]*Account
+	keys     map[string]*Account
+}
+
+// NewIndex returns the index of a configuration; nil has an empty one.
+func NewIndex(c *Config) *Index {
+	ix := &Index{
+		config:   c,
+		routes:   make(map[string][]*Route),
+		services: make(map[string]*Service),
+		accounts: make(map[string]*Account),
+		keys:     make(map[string]*Account),
+	}
+	if c == nil {
+		return ix
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		ix.routes[r.Domain] = append(ix.routes[r.Domain], r)
+	}
+	for i := range c.Services {
+		ix.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Accounts {
+		a := &c.Accounts[i]
+		ix.accounts[a.Name] = a
+		for _, k := range a.Keys {
+			ix.keys[k] = a
+		}
+	}
+	return ix
+}
+
+// Config returns the indexed configuration, nil if there is none.
+func (ix *Index) Config() *Config { return ix.config }
+
+// Version returns the configuration's version, 0 if there is none.
+func (ix *Index) Version() int64 {
+	if ix.config == nil {
+		return 0
+	}
+	return ix.config.Version
+}
+
+// Route returns the route with the longest prefix that begins the path, nil if
+// there is none.
+func (ix *Index) Route(domain, path string) *Route {
+	var best *Route
+	for _, r := range ix.routes[domain] {
+		if strings.HasPrefix(path, r.Prefix) && (best == nil || len(r.Prefix) > len(best.Prefix)) {
+			best = r
+		}
+	}
+	return best
+}
+
+// Service returns the service of a name, nil if there is none.
+func (ix *Index) Service(name string) *Service { return ix.services[name] }
+
+// Account returns the client account of a name, nil if there is none.
+func (ix *Index) Account(name string) *Account { return ix.accounts[name] }
+
+// Holder returns the client account that holds a key, nil if there is none.
+func (ix *Index) Holder(key string) *Account { return ix.keys[key] }
--- /dev/null
+++ b/core/bbtentry/action.go
@@ -0,0 +1,44 @@
+package bbtentry
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/core/bbtverdict"
+)
+
+// Action is something that the driver of an Entry has to do.
+type Action interface{ action() }
+
+// Send asks for a message to be sent to a host.
+type Send struct {
+	To      bbtfleet.HostID
+	Message bbtschedule.Message
+}
+
+// Dispatch sends a request to an endpoint.
+type Dispatch struct {
+	ID       bbtschedule.RequestID
+	Attempt  int
+	Endpoint string
+	Address  string // IP:port
+}
+
+// Fail ends a request that gets no further dispatch.
+type Fail struct {
+	ID         bbtschedule.RequestID
+	Reason     bbtverdict.Reason
+	RetryAfter time.Duration
+}
+
+// OwnerSilent says that the owner does not answer.
+type OwnerSilent struct {
+	Host bbtfleet.HostID
+	For  time.Duration
+}
+
+func (Send) action()        {}
+func (Dispatch) action()    {}
+func (Fail) action()        {}
+func (OwnerSilent) action() {}
--- a/core/bbtmember/action.go
+++ b/core/bbtmember/action.go
@@ -33,6 +33,13 @@
 // Neighbours says which hosts the Member probes from now on.
 type Neighbours struct{ Hosts []bbtfleet.HostID }
 
+// Met says that a host which is not in the host list was heard of, and whether
+// the host itself was heard.
+type Met struct {
+	Change Change
+	Direct bool
+}
+
 // Paused says that the local process did not run for a while, so that what it
 // knows must be confirmed before it is used.
 type Paused struct{ Gap time.Duration }
@@ -42,3 +49,4 @@
 func (DigestSeen) action() {}
 func (Neighbours) action() {}
 func (Paused) action()     {}
+func (Met) action()        {}
--- a/core/bbtmember/member.go
+++ b/core/bbtmember/member.go
@@ -84,6 +84,17 @@
 	return Dead
 }
 
+// Incarnation returns the newest known process of the host, zero if none is.
+func (m *Member) Incarnation(id bbtfleet.HostID) bbtfleet.Incarnation {
+	if id == m.self {
+		return bbtfleet.Incarnation(m.incarnation)
+	}
+	if p := m.find(id); p != nil {
+		return bbtfleet.Incarnation(p.incarnation)
+	}
+	return 0
+}
+
 // Contact returns what is known from the exchange with the host, also for a
 // while after it has left the host list.
 func (m *Member) Contact(id bbtfleet.HostID) Contact {
--- a/core/bbtmember/receive.go
+++ b/core/bbtmember/receive.go
@@ -80,7 +80,8 @@
 func (m *Member) heard(now time.Time, from bbtfleet.HostID, incarnation uint64, round uint32) []Action {
 	p := m.find(from)
 	if p == nil {
-		return nil
+		met := Change{Host: string(from), Incarnation: incarnation, Round: round, State: Alive}
+		return []Action{Met{Change: met, Direct: true}}
 	}
 	if incarnation >= p.incarnation {
 		p.contact.heard = now
@@ -114,6 +115,9 @@
 // apply takes a newer change and sends it on.
 func (m *Member) apply(now time.Time, c Change) []Action {
 	p := m.peers[bbtfleet.HostID(c.Host)]
+	if p == nil && c.State < Leaving && !m.outdated(c) {
+		return []Action{Met{Change: c}}
+	}
 	if p == nil || !p.replacedBy(c) {
 		return nil
 	}
@@ -137,3 +141,32 @@
 	}
 	return actions
 }
+
+// outdated reports whether c is of a process that has left the host list, or of
+// one before it.
+func (m *Member) outdated(c Change) bool {
+	p := m.former[bbtfleet.HostID(c.Host)]
+	return p != nil && c.Incarnation <= p.incarnation
+}
+
+// Introduce takes in what a Met says, once the host is in the host list, and
+// passes it on.
+func (m *Member) Introduce(now time.Time, c Change) []Action {
+	actions := m.apply(now, c)
+	m.announce(c)
+	return actions
+}
+
+// Roster returns what is known of every host of the host list.
+func (m *Member) Roster() []Change {
+	out := []Change{{Host: string(m.self), Incarnation: m.incarnation, Round: m.round, State: m.state}}
+	for _, pt := range m.ring.points {
+		if p := m.peers[pt.id]; p != nil && p.incarnation != 0 {
+			out = append(out, p.change())
+		}
+	}
+	return out
+}
+
+// Learn takes in what a peer knows of the hosts.
+func (m *Member) Learn(now time.Time, changes []Change) []Action { return m.merge(now, changes) }
--- /dev/null
+++ b/core/bbtschedule/message.go
@@ -0,0 +1,134 @@
+package bbtschedule
+
+import "time"
+
+// The messages below travel between hosts. Their fields are exported because
+// the codec needs it.
+
+// RequestID names a request at the host that took it from its caller.
+type RequestID uint64
+
+// Registration asks the owner for a permit.
+type Registration struct {
+	ID        RequestID     `cbor:"1,keyasint"`
+	Service   string        `cbor:"2,keyasint"`
+	Account   string        `cbor:"3,keyasint,omitempty"`
+	Tier      int           `cbor:"4,keyasint,omitempty"`
+	Prompt    int           `cbor:"5,keyasint,omitempty"` // tokens
+	Output    int           `cbor:"6,keyasint,omitempty"` // tokens at most
+	Cost      float64       `cbor:"7,keyasint,omitempty"` // against the account's rate
+	Left      time.Duration `cbor:"8,keyasint"`           // until the caller gives up
+	Objective time.Duration `cbor:"9,keyasint,omitempty"` // left of the latency objective; negative once it is missed
+	Pause     time.Duration `cbor:"10,keyasint,omitempty"`
+	Parts     []Part        `cbor:"11,keyasint,omitempty"` // of the prompt, in order
+	Attempt   int           `cbor:"12,keyasint,omitempty"` // 0 for the first
+	Repeat    bool          `cbor:"13,keyasint,omitempty"` // an endpoint was sent the request before
+	Exclude   []string      `cbor:"14,keyasint,omitempty"` // endpoints not to be used
+	Print     uint64        `cbor:"15,keyasint,omitempty"` // fingerprint of the request
+	Waited    time.Duration `cbor:"16,keyasint,omitempty"` // since the host has read the request
+	Aim       time.Duration `cbor:"17,keyasint,omitempty"` // the whole latency objective
+}
+
+// Part is a piece of a prompt that requests may share.
+type Part struct {
+	ID     uint64 `cbor:"1,keyasint"`
+	Tokens int    `cbor:"2,keyasint"`
+}
+
+// Withdrawal takes a registration back.
+type Withdrawal struct {
+	ID RequestID `cbor:"1,keyasint"`
+}
+
+// Permit lets a host send a request to an endpoint.
+type Permit struct {
+	ID       RequestID `cbor:"1,keyasint"`
+	Attempt  int       `cbor:"2,keyasint,omitempty"`
+	Endpoint string    `cbor:"3,keyasint"`
+	Address  string    `cbor:"4,keyasint"`
+}
+
+// Refusal says that a registered request gets no permit.
+type Refusal struct {
+	ID         RequestID     `cbor:"1,keyasint"`
+	Attempt    int           `cbor:"2,keyasint,omitempty"`
+	Reason     string        `cbor:"3,keyasint"`
+	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+}
+
+// Began says that a request's first event or answer has arrived.
+type Began struct {
+	ID RequestID `cbor:"1,keyasint"`
+}
+
+// Outcome says how a dispatch ended.
+type Outcome uint8
+
+// The outcomes of a dispatch.
+const (
+	Finished    Outcome = iota // whole answer
+	Rejected                   // the endpoint said that it did not run the request
+	Unreachable                // no connection, nothing was sent
+	Failed                     // the endpoint ran the request and answered with a failure
+	Broken                     // the connection ended before the answer did
+	Cancelled                  // the caller left or its time ran out
+	Unused                     // nothing was sent under the permit
+)
+
+// String returns the outcome's name in kebab case.
+func (o Outcome) String() string {
+	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused"}[o]
+}
+
+// Done says how the dispatch under a permit ended.
+type Done struct {
+	ID      RequestID     `cbor:"1,keyasint"`
+	Attempt int           `cbor:"2,keyasint,omitempty"`
+	Outcome Outcome       `cbor:"3,keyasint,omitempty"`
+	Events  int           `cbor:"4,keyasint,omitempty"`
+	Span    time.Duration `cbor:"5,keyasint,omitempty"` // from the first event to the last
+	Other   bool          `cbor:"6,keyasint,omitempty"` // another incarnation has the endpoint's address
+}
+
+// Takeover tells a new owner what runs and what was spent under the former one.
+type Takeover struct {
+	Running []Running `cbor:"1,keyasint,omitempty"`
+	Used    []Use     `cbor:"2,keyasint,omitempty"`
+	Repeats []Use     `cbor:"3,keyasint,omitempty"`
+}
+
+// Use is what one host's requests used of an account's limit, or of a service's
+// repeats, some time ago.
+type Use struct {
+	Account string        `cbor:"1,keyasint,omitempty"`
+	Service string        `cbor:"2,keyasint,omitempty"`
+	Ago     time.Duration `cbor:"3,keyasint,omitempty"`
+	Amount  float64       `cbor:"4,keyasint"`
+}
+
+// Running is a dispatch under way.
+type Running struct {
+	Registration Registration  `cbor:"1,keyasint"`
+	Endpoint     string        `cbor:"2,keyasint"`
+	Began        bool          `cbor:"3,keyasint,omitempty"`
+	For          time.Duration `cbor:"4,keyasint"` // since its permit
+}
+
+// Probe tells an owner that the sender follows it, and asks for a sign of life.
+type Probe struct{}
+
+// Here answers a Probe.
+type Here struct{}
+
+// Message is any of the messages to an owner or to an entry host.
+type Message interface{ message() }
+
+func (Registration) message() {}
+func (Withdrawal) message()   {}
+func (Permit) message()       {}
+func (Refusal) message()      {}
+func (Began) message()        {}
+func (Done) message()         {}
+func (Takeover) message()     {}
+func (Probe) message()        {}
+func (Here) message()         {}
--- a/core/bbtverdict/reason.go
+++ b/core/bbtverdict/reason.go
@@ -12,6 +12,14 @@
 	ReasonNoOwner          Reason = "no-owner"
 	ReasonRequestRate      Reason = "request-rate"
 	ReasonTokenRate        Reason = "token-rate"
+	ReasonRetryBudget      Reason = "retry-budget"
+	ReasonAttempts         Reason = "attempts-used"
+	ReasonUnknownRoute     Reason = "unknown-route"
+	ReasonUnknownKey       Reason = "unknown-key"
+	ReasonTooLarge         Reason = "body-too-large"
+	ReasonHeaderTooLarge   Reason = "header-too-large"
+	ReasonAnswerForeign    Reason = "answer-of-another-request"
+	ReasonTimeout          Reason = "timeout"
 	ReasonNoRoom           Reason = "no-room"
 	ReasonEvicted          Reason = "evicted-by-higher-tier"
 	ReasonDeadline         Reason = "deadline-unreachable"
@@ -46,6 +54,14 @@
 	ReasonNoOwner,
 	ReasonRequestRate,
 	ReasonTokenRate,
+	ReasonRetryBudget,
+	ReasonAttempts,
+	ReasonUnknownRoute,
+	ReasonUnknownKey,
+	ReasonTooLarge,
+	ReasonHeaderTooLarge,
+	ReasonAnswerForeign,
+	ReasonTimeout,
 	ReasonNoRoom,
 	ReasonEvicted,
 	ReasonDeadline,
--- /dev/null
+++ b/io/bbtapp/edge.go
@@ -0,0 +1,135 @@
+package bbtapp
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/url"
+	"syscall"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/io/bbtedge"
+	"bluebelltray/io/bbtgateway"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cockroachdb/errors"
+	"github.com/go-kratos/kratos/v2"
+	khttp "github.com/go-kratos/kratos/v2/transport/http"
+	"go.uber.org/zap"
+)
+
+const (
+	// callersGone is how long a host that leaves serves on, so that callers
+	// drop its address: an address answer's lifetime and some time to spare.
+	callersGone = 2200 * time.Millisecond
+	// graceMargin is the part of the grace time that is left for the exit.
+	graceMargin = time.Second
+	drainPoll   = 50 * time.Millisecond
+	headerTime  = 10 * time.Second
+	idleTime    = 75 * time.Second
+)
+
+// Edge is the process of one entry host on a platform.
+type Edge struct {
+	settings bbtedge.Settings
+	log      *zap.Logger
+	edge     *bbtedge.Edge
+	gateway  *bbtgateway.Gateway
+	kratos   *kratos.App
+	front    *khttp.Server
+}
+
+// Pages are the handlers that a platform's adapter makes for a host.
+type Pages struct {
+	Directory http.Handler
+	Ready     http.Handler
+}
+
+// NewEdge returns the process of a host with its settings. pages makes the
+// platform's pages for it.
+func NewEdge(s bbtedge.Settings, source bluebelltray.Source, dialect bluebelltray.Dialect,
+	pages func(*bbtedge.Edge) Pages, log *zap.Logger, counters *bbtmetric.Counters) (*Edge, error) {
+	node, err := listenPeers(s, counters)
+	if err != nil {
+		return nil, err
+	}
+	edge := bbtedge.New(s, source, node, bbtedge.WithLogger(log), bbtedge.WithCounters(counters))
+	a := &Edge{settings: s, log: log, edge: edge, gateway: bbtgateway.New(edge, dialect, counters, log)}
+	p := pages(edge)
+	front, err := serve(s.Callers, a.gateway)
+	if err != nil {
+		return nil, err
+	}
+	directory, err := serve(s.Directory, p.Directory)
+	if err != nil {
+		return nil, err
+	}
+	ready, err := serve(s.Ready, p.Ready)
+	if err != nil {
+		return nil, err
+	}
+	a.front = front
+	a.kratos = kratos.New(
+		kratos.Name("bluebelltray"),
+		kratos.Server(front, directory, ready),
+		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
+		kratos.StopTimeout(graceMargin),
+		kratos.BeforeStop(a.drain))
+	return a, nil
+}
+
+// listenPeers opens the host's end of the connections between hosts.
+func listenPeers(s bbtedge.Settings, counters *bbtmetric.Counters) (*bbtpeer.Node, error) {
+	packets, err := net.ListenPacket("udp4", s.PeerAddr(s.Host))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for peers")
+	}
+	id, err := bbtpeer.NewOpenIdentity(s.Host, time.Now())
+	if err != nil {
+		return nil, err
+	}
+	codec, err := bbtedge.NewCodec()
+	if err != nil {
+		return nil, err
+	}
+	return bbtpeer.Listen(s.Host, packets, id, codec, counters)
+}
+
+// serve returns a server of one handler that gets every request as it came.
+func serve(addr string, h http.Handler) (*khttp.Server, error) {
+	l, err := bbtgateway.Listen(addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen at %s", addr)
+	}
+	// A stated endpoint keeps the framework from asking the kernel for interfaces.
+	srv := khttp.NewServer(khttp.Listener(l), khttp.Endpoint(&url.URL{Scheme: "http", Host: addr}), khttp.Timeout(0))
+	srv.Handler = h // the framework's router would clean paths
+	srv.ReadHeaderTimeout = headerTime
+	srv.IdleTimeout = idleTime
+	return srv, nil
+}
+
+// Run serves until a signal ends the process.
+func (a *Edge) Run() error {
+	defer a.edge.Close()
+	a.log.Info("started", zap.String("node", a.settings.Name), zap.String("zone", string(a.settings.Zone)))
+	err := a.kratos.Run()
+	a.log.Info("stopped", zap.Error(err))
+	return err
+}
+
+// drain serves on until callers have dropped this host's address and its
+// requests have ended, or the grace time is nearly over.
+func (a *Edge) drain(context.Context) error {
+	began := time.Now()
+	a.edge.Leave()
+	for {
+		time.Sleep(drainPoll)
+		gone := time.Since(began)
+		if gone >= callersGone && a.gateway.Active() == 0 || gone >= a.settings.Bounds.Grace-graceMargin {
+			a.log.Info("drained", zap.Duration("took", gone), zap.Int64("requests", a.gateway.Active()))
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/io/bbtedge/catalog.go
@@ -0,0 +1,109 @@
+package bbtedge
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtview"
+	"go.uber.org/zap"
+)
+
+const (
+	// askEvery is the least time between questions to peers for changes.
+	askEvery = 150 * time.Millisecond
+	// readingHosts is how many hosts read the platform in a fleet that is
+	// larger than smallFleet; the others learn from peers.
+	readingHosts = 4
+	smallFleet   = 12
+	// staleAfter is the age of the freshest view among peers after which a host
+	// reads the platform itself.
+	staleAfter = 4 * time.Second
+)
+
+// digest returns what peers are told of this host's view.
+func (e *Edge) digest(now time.Time) bbtview.Digest {
+	d := bbtview.Digest{Revision: uint64(e.index.Load().Version()), Hosts: e.keeper.Revision(), Age: bbtview.AgeUnknown}
+	if at := e.reader.confirmed(); !at.IsZero() {
+		d.Age = uint32(min(now.Sub(at).Milliseconds(), int64(bbtview.AgeUnknown-1)))
+	}
+	return d
+}
+
+// compare asks a peer that knows more than this host for what it lacks.
+func (e *Edge) compare(now time.Time, from bbtfleet.HostID, d bbtview.Digest) {
+	if d.Age != bbtview.AgeUnknown {
+		at := now.Add(-time.Duration(d.Age) * time.Millisecond)
+		if at.After(e.fresh[from]) {
+			e.fresh[from] = at
+		}
+	}
+	if d.Hosts <= e.keeper.Revision() || now.Sub(e.asked) < askEvery {
+		return
+	}
+	e.asked = now
+	e.tell(from, Lack{e.keeper.Revision()})
+}
+
+// take puts published changes in force.
+func (e *Edge) take(now time.Time, u bbtcatalog.Update, from string) {
+	before, version := e.keeper.Revision(), e.index.Load().Version()
+	changed := e.keeper.Apply(now, u)
+	e.reader.advance(e.keeper.Revision(), from != "platform")
+	if !changed {
+		return
+	}
+	e.publish(now)
+	for _, c := range u.Changes {
+		e.logChange(c, before, from)
+	}
+	if v := e.index.Load().Version(); v != version {
+		e.counters.Set("configuration-version", v)
+		e.log.Info("configuration in force", zap.Int64("version", v), zap.Int64("before", version), zap.String("from", from))
+	}
+}
+
+// logChange logs a change of an endpoint or an availability zone.
+func (e *Edge) logChange(c bbtcatalog.Change, before uint64, from string) {
+	if c.Revision <= before {
+		return
+	}
+	switch {
+	case c.Endpoint != nil:
+		e.log.Info("endpoint changed", zap.String("endpoint", c.Endpoint.ID), zap.Bool("gone", c.Gone),
+			zap.Bool("draining", c.Endpoint.Draining), zap.Duration("cold-left", c.Endpoint.ColdLeft),
+			zap.Uint64("revision", c.Revision), zap.String("from", from))
+	case c.Zone != nil:
+		e.log.Info("availability zone changed", zap.String("zone", *c.Zone), zap.Bool("out", !c.Gone),
+			zap.Uint64("revision", c.Revision), zap.String("from", from))
+	}
+}
+
+// publish gives the catalog in force to the roles.
+func (e *Edge) publish(now time.Time) {
+	e.catalogAt = now
+	ix := e.keeper.Index()
+	e.index.Store(ix)
+	e.ready.Store(ix.Config() != nil)
+	e.doScheduler(e.scheduler.SetCatalog(now, ix, e.keeper.Endpoints(now)))
+}
+
+// reads reports whether this host reads the platform.
+func (e *Edge) reads(now time.Time) bool {
+	if len(e.hosts) < smallFleet {
+		return true
+	}
+	older, freshest := 0, time.Time{}
+	for _, h := range e.hosts {
+		if !e.up(h.ID()) {
+			continue
+		}
+		if uint64(e.member.Incarnation(h.ID())) < e.incarnation {
+			older++
+		}
+		if at := e.fresh[h.ID()]; at.After(freshest) {
+			freshest = at
+		}
+	}
+	return older < readingHosts || now.Sub(freshest) > staleAfter
+}
--- /dev/null
+++ b/io/bbtedge/edge.go
@@ -0,0 +1,221 @@
+package bbtedge
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+)
+
+// Bounds and periods of an edge.
+const (
+	eventQueue    = 4096
+	tickPeriod    = 50 * time.Millisecond
+	busyPeriod    = 10 * time.Millisecond // while requests wait for endpoints
+	memberPeriod  = 200 * time.Millisecond
+	catalogPeriod = 200 * time.Millisecond // for what time alone changes
+)
+
+// peers is a host's end of the connections to its peers; *bbtpeer.Node is one.
+type peers interface {
+	SetHosts(hosts []bbtfleet.Host)
+	Send(to bbtfleet.HostID, msg any) bool
+	Reset(host bbtfleet.HostID)
+	Inbox() <-chan bbtpeer.Inbound
+	Lost() <-chan bbtfleet.HostID
+	Close() error
+}
+
+// Edge is one entry host. All its state belongs to the goroutine of run; other
+// goroutines pass it events.
+type Edge struct {
+	settings Settings
+	log      *zap.Logger
+	counters *bbtmetric.Counters
+	peers    peers
+	events   chan event
+	ctx      context.Context
+	cancel   context.CancelFunc
+	done     sync.WaitGroup
+
+	// For other goroutines.
+	index     atomic.Pointer[bbtcatalog.Index]
+	addresses atomic.Pointer[[]string]
+	ready     atomic.Bool
+	leaving   atomic.Bool
+	reader    *reader
+
+	keeper      bbtcatalog.Keeper
+	member      *bbtmember.Member
+	incarnation uint64
+	hosts       []bbtfleet.Host // without this one
+	lastAlive   map[bbtfleet.HostID]time.Time
+	avoid       map[bbtfleet.HostID]time.Time // owners that were silent, until when
+	fresh       map[bbtfleet.HostID]time.Time // when a peer's view was confirmed by the platform last
+	asked       time.Time                     // when a peer was asked for its catalog last
+	memberAt    time.Time
+	catalogAt   time.Time
+
+	entry     *bbtentry.Entry
+	flights   map[bbtschedule.RequestID]*Flight
+	scheduler *bbtschedule.Scheduler
+	followers map[bbtfleet.HostID]time.Time
+	local     []any // messages to this host itself
+}
+
+// Option sets an optional part of an Edge.
+type Option func(*Edge)
+
+// WithLogger sets where decisions are logged.
+func WithLogger(l *zap.Logger) Option { return func(e *Edge) { e.log = l } }
+
+// WithCounters sets the metrics that the edge counts in.
+func WithCounters(c *bbtmetric.Counters) Option { return func(e *Edge) { e.counters = c } }
+
+// New returns an edge, which owns node from then on. Close ends both.
+func New(s Settings, source bluebelltray.Source, node peers, opts ...Option) *Edge {
+	now := time.Now()
+	incarnation := uint64(now.UnixMicro())
+	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(s.Host))))
+	ctx, cancel := context.WithCancel(context.Background())
+	e := &Edge{
+		settings:    s,
+		log:         zap.NewNop(),
+		counters:    bbtmetric.New(),
+		peers:       node,
+		events:      make(chan event, eventQueue),
+		ctx:         ctx,
+		cancel:      cancel,
+		member:      bbtmember.New(s.Host, bbtfleet.Incarnation(incarnation), rng),
+		incarnation: incarnation,
+		lastAlive:   make(map[bbtfleet.HostID]time.Time),
+		avoid:       make(map[bbtfleet.HostID]time.Time),
+		fresh:       make(map[bbtfleet.HostID]time.Time),
+		entry:       bbtentry.New(bbtschedule.RequestID(incarnation<<20), s.Bounds),
+		flights:     make(map[bbtschedule.RequestID]*Flight),
+		scheduler:   newScheduler(s, now),
+		followers:   make(map[bbtfleet.HostID]time.Time),
+	}
+	for _, opt := range opts {
+		opt(e)
+	}
+	e.index.Store(bbtcatalog.NewIndex(nil))
+	e.addresses.Store(&[]string{s.Callers})
+	e.reader = &reader{edge: e, source: source}
+	for _, id := range s.Seeds {
+		e.hosts = append(e.hosts, e.settings.host(id))
+	}
+	e.done.Go(e.run)
+	e.done.Go(e.reader.run)
+	return e
+}
+
+// newScheduler returns the owner role of a process that begins now.
+func newScheduler(s Settings, now time.Time) *bbtschedule.Scheduler {
+	if s.First {
+		return bbtschedule.New(s.Bounds)
+	}
+	return bbtschedule.New(s.Bounds, bbtschedule.WithUseBefore(now))
+}
+
+// Close ends the edge and waits for its goroutines.
+func (e *Edge) Close() {
+	e.cancel()
+	e.peers.Close()
+	e.done.Wait()
+}
+
+// Index returns the configuration in force.
+func (e *Edge) Index() *bbtcatalog.Index { return e.index.Load() }
+
+// Ready reports whether the host takes requests.
+func (e *Edge) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
+
+// Leaving reports whether the host is about to stop.
+func (e *Edge) Leaving() bool { return e.leaving.Load() }
+
+// addressLife is how long callers keep an address answer, unless the operators'
+// bound is shorter. It is the time a host that leaves waits for them.
+const addressLife = 1500 * time.Millisecond
+
+// Addresses returns the caller addresses to use, and for how long.
+func (e *Edge) Addresses() ([]string, time.Duration) {
+	return *e.addresses.Load(), min(addressLife, e.settings.Bounds.Lifetime)
+}
+
+// Leave makes the host known as leaving; it takes requests on until it closes.
+func (e *Edge) Leave() {
+	e.leaving.Store(true)
+	e.post(left{})
+}
+
+// run applies events one after the other.
+func (e *Edge) run() {
+	now := time.Now()
+	e.setHosts(now)
+	wake := time.NewTimer(tickPeriod)
+	defer wake.Stop()
+	for {
+		select {
+		case <-e.ctx.Done():
+			return
+		case ev := <-e.events:
+			ev.apply(e, time.Now())
+		case in := <-e.peers.Inbox():
+			e.receive(time.Now(), in.From(), in.Message())
+		case <-e.peers.Lost():
+			e.counters.Add("peer-connections-lost", 1)
+		case <-wake.C:
+			e.tick(time.Now())
+			wake.Reset(e.period())
+		}
+		e.deliverLocal(time.Now())
+	}
+}
+
+// period returns the time until the next tick.
+func (e *Edge) period() time.Duration {
+	if e.scheduler.Waiting() {
+		return busyPeriod
+	}
+	return tickPeriod
+}
+
+// tick does what is due by time alone.
+func (e *Edge) tick(now time.Time) {
+	if now.Sub(e.memberAt) >= memberPeriod {
+		e.memberAt = now
+		e.doMember(now, e.member.Tick(now, e.digest(now)))
+		e.follow(now)
+		e.setShare(now)
+		e.reader.set(e.reads(now), len(e.hosts) >= smallFleet)
+	}
+	if now.Sub(e.catalogAt) >= catalogPeriod {
+		e.publish(now)
+	}
+	e.doEntry(now, e.entry.Tick(now))
+	e.doScheduler(e.scheduler.Tick(now))
+}
+
+// post passes an event to run, waiting for room; it reports false once the
+// edge is closed.
+func (e *Edge) post(ev event) bool {
+	select {
+	case e.events <- ev:
+		return true
+	case <-e.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/io/bbtedge/message.go
@@ -0,0 +1,30 @@
+package bbtedge
+
+import (
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/io/bbtpeer"
+)
+
+// The messages below travel between hosts. Their fields are exported because
+// the codec needs it.
+
+// Roster tells a host that has just been met of all others.
+type Roster struct {
+	Hosts []bbtmember.Change `cbor:"1,keyasint"`
+}
+
+// Lack asks a host for the changes after a revision.
+type Lack struct {
+	Revision uint64 `cbor:"1,keyasint"`
+}
+
+// NewCodec returns the codec of all messages between edges.
+func NewCodec() (*bbtpeer.Codec, error) {
+	return bbtpeer.NewCodec(
+		bbtmember.Ping{}, bbtmember.Ack{}, bbtmember.Relay{}, bbtmember.Relayed{},
+		bbtschedule.Registration{}, bbtschedule.Withdrawal{}, bbtschedule.Permit{}, bbtschedule.Refusal{},
+		bbtschedule.Began{}, bbtschedule.Done{}, bbtschedule.Takeover{}, bbtschedule.Probe{}, bbtschedule.Here{},
+		bbtcatalog.Update{}, Roster{}, Lack{})
+}
--- /dev/null
+++ b/io/bbtedge/reader.go
@@ -0,0 +1,168 @@
+package bbtedge
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bluebelltray"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+)
+
+const (
+	watchWait    = 10 * time.Second // that the platform may hold a watch
+	shortWatch   = 2 * time.Second  // in a large fleet, whose other hosts need fresh views
+	pauseLeast   = 100 * time.Millisecond
+	pauseMost    = time.Second
+	outageLeast  = time.Second            // without an answer, after which entries may have lapsed
+	watchHealthy = 500 * time.Millisecond // in which a watch brings what peers know
+	idlePeriod   = 200 * time.Millisecond // between checks of a host that does not read
+)
+
+// reader follows the platform and passes on what it publishes.
+type reader struct {
+	edge   *Edge
+	source bluebelltray.Source
+
+	mu       sync.Mutex
+	revision uint64    // known to the edge
+	answered time.Time // when the platform answered last
+	stop     context.CancelFunc
+	begun    time.Time // when the watch at hand began
+	idle     bool      // peers read for this host
+	short    bool
+}
+
+// confirmed returns when the platform answered last, zero if it never did.
+func (r *reader) confirmed() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.answered
+}
+
+// advance records what the edge knows. What comes from a peer and not from a
+// watch that has been waiting shows that the watch's connection is silent.
+func (r *reader) advance(revision uint64, fromPeer bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	ahead := revision > r.revision
+	r.revision = revision
+	if fromPeer && ahead && r.stop != nil && time.Since(r.begun) > watchHealthy {
+		r.stop()
+	}
+}
+
+// set tells the reader whether to read at all, and for how long to watch.
+func (r *reader) set(reads, short bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.idle, r.short = !reads, short
+}
+
+// run reads until the edge is closed.
+func (r *reader) run() {
+	loaded := false
+	down := false
+	pause := pauseLeast
+	for r.edge.ctx.Err() == nil {
+		if r.resting() {
+			r.sleep(idlePeriod)
+			loaded = r.known() > 0
+			continue
+		}
+		err := r.read(loaded)
+		switch {
+		case err == nil:
+			loaded, pause = true, pauseLeast
+			if down {
+				down = false
+				r.edge.log.Info("platform regained")
+			}
+		case errors.Is(err, bluebelltray.ErrHistoryGone):
+			loaded = false
+			r.edge.log.Info("platform's history is gone")
+		case r.edge.ctx.Err() == nil:
+			if !down {
+				down = true
+				r.edge.log.Warn("platform lost", zap.Error(err))
+			}
+			r.edge.counters.Add("platform-reads-failed", 1)
+			r.sleep(pause)
+			pause = min(2*pause, pauseMost)
+		}
+	}
+}
+
+// read makes one call and passes on what it brings.
+func (r *reader) read(loaded bool) error {
+	ctx, cancel := context.WithCancel(r.edge.ctx)
+	defer cancel()
+	r.mu.Lock()
+	after, wait := r.revision, watchWait
+	if r.short {
+		wait = shortWatch
+	}
+	r.stop, r.begun = cancel, time.Now()
+	before := r.answered
+	r.mu.Unlock()
+	r.edge.counters.Add("platform-reads", 1)
+	began := time.Now()
+	if !loaded {
+		u, err := r.source.Load(ctx)
+		if err != nil {
+			return err
+		}
+		r.edge.post(published{u, r.note(before, began)})
+		r.mu.Lock()
+		r.revision = max(r.revision, u.Revision)
+		r.mu.Unlock()
+		return nil
+	}
+	u, err := r.source.Watch(ctx, after, wait)
+	if err != nil {
+		if ctx.Err() != nil && r.edge.ctx.Err() == nil {
+			r.edge.counters.Add("platform-watches-abandoned", 1)
+			return nil
+		}
+		return err
+	}
+	r.edge.post(published{u, r.note(before, began)})
+	r.mu.Lock()
+	r.revision = max(r.revision, u.Revision)
+	r.mu.Unlock()
+	return nil
+}
+
+// note records an answer and reports whether the one before was so long before
+// the call that entries may have lapsed meanwhile.
+func (r *reader) note(before, began time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.answered = time.Now()
+	return !before.IsZero() && began.Sub(before) > outageLeast
+}
+
+// known returns the revision that the edge knows.
+func (r *reader) known() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.revision
+}
+
+// resting reports whether peers read for this host.
+func (r *reader) resting() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.idle
+}
+
+// sleep waits, less if the edge is closed.
+func (r *reader) sleep(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-r.edge.ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/bbtedge/roles.go
@@ -0,0 +1,110 @@
+package bbtedge
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtmember"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/core/bbtverdict"
+	"go.uber.org/zap"
+)
+
+// avoidTime is how long a silent owner is passed over.
+const avoidTime = 1500 * time.Millisecond
+
+// doEntry carries out what the entry role asks for.
+func (e *Edge) doEntry(now time.Time, actions []bbtentry.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case bbtentry.Send:
+			e.tell(a.To, a.Message)
+		case bbtentry.Dispatch:
+			e.step(a.ID, step{dispatch: a})
+		case bbtentry.Fail:
+			err := bbtverdict.New(bbtverdict.NotRun, a.Reason, bbtverdict.WithRetryAfter(a.RetryAfter))
+			e.step(a.ID, step{err: err})
+			delete(e.flights, a.ID)
+		case bbtentry.OwnerSilent:
+			e.log.Warn("owner silent", zap.String("peer", string(a.Host)), zap.Duration("for", a.For))
+			e.counters.Add("owners-silent", 1)
+			e.avoid[a.Host] = now.Add(avoidTime)
+			e.peers.Reset(a.Host)
+			e.follow(now)
+		}
+	}
+}
+
+// step hands a decision to the goroutine that serves the caller.
+func (e *Edge) step(id bbtschedule.RequestID, s step) {
+	if f := e.flights[id]; f != nil {
+		f.next <- s // one decision at a time is outstanding
+	}
+}
+
+// doScheduler sends what the owner role decided.
+func (e *Edge) doScheduler(actions []bbtschedule.Action) {
+	for _, a := range actions {
+		e.tell(a.To, a.Message)
+	}
+}
+
+// tell passes a message to a host, which may be this one.
+func (e *Edge) tell(to bbtfleet.HostID, msg any) {
+	if to == e.settings.Host {
+		e.local = append(e.local, msg)
+		return
+	}
+	if to != "" {
+		e.peers.Send(to, msg)
+	}
+}
+
+// deliverLocal delivers the messages that the host sent to itself.
+func (e *Edge) deliverLocal(now time.Time) {
+	for len(e.local) > 0 {
+		msg := e.local[0]
+		e.local = e.local[1:]
+		e.receive(now, e.settings.Host, msg)
+	}
+	e.local = nil
+}
+
+// receive hands a message to the role that it is meant for.
+func (e *Edge) receive(now time.Time, from bbtfleet.HostID, msg any) {
+	e.entry.Heard(now, from)
+	switch m := msg.(type) {
+	case bbtschedule.Registration:
+		e.followers[from] = now
+		e.doScheduler(e.scheduler.Register(now, from, m))
+	case bbtschedule.Withdrawal:
+		e.scheduler.Withdraw(now, from, m.ID)
+	case bbtschedule.Began:
+		e.doScheduler(e.scheduler.Began(now, from, m.ID))
+	case bbtschedule.Done:
+		e.doScheduler(e.scheduler.Done(now, from, m))
+	case bbtschedule.Takeover:
+		e.followers[from] = now
+		e.scheduler.TakeOver(now, from, m)
+	case bbtschedule.Probe:
+		e.followers[from] = now
+		e.tell(from, bbtschedule.Here{})
+	case bbtschedule.Here:
+	case bbtschedule.Permit:
+		e.doEntry(now, e.entry.Permitted(now, from, m))
+	case bbtschedule.Refusal:
+		e.doEntry(now, e.entry.Refused(now, m))
+	case bbtmember.Message:
+		e.doMember(now, e.member.Receive(now, from, m, e.digest(now)))
+	case Roster:
+		e.doMember(now, e.member.Learn(now, m.Hosts))
+	case Lack:
+		e.tell(from, e.keeper.Since(m.Revision))
+	case bbtcatalog.Update:
+		e.take(now, m, string(from))
+	default:
+		e.counters.Add("peer-messages-unexpected", 1)
+	}
+}
--- /dev/null
+++ b/io/bbtgateway/answer.go
@@ -0,0 +1,203 @@
+package bbtgateway
+
+import (
+	"context"
+	"io"
+	"iter"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/core/bbtverdict"
+	"github.com/cockroachdb/errors"
+)
+
+// wholeAnswer is the size in bytes up to which a plain answer is read whole
+// before it is passed on, so that one that breaks off may be repeated.
+const wholeAnswer = 256 << 10
+
+// answer is an endpoint's answer to one dispatch.
+type answer struct {
+	exchange *exchange
+	dispatch bbtentry.Dispatch
+	reply    bluebelltray.Reply
+	events   int
+	first    time.Time // of the first event
+	last     time.Time // of the last one
+}
+
+// done ends the dispatch and reports whether another one is to follow.
+func (a *answer) done(outcome bbtschedule.Outcome, again bool) bool {
+	x := a.exchange
+	x.story = append(x.story, a.dispatch.Endpoint+" "+outcome.String())
+	if outcome != bbtschedule.Unreachable && outcome != bbtschedule.Rejected {
+		x.ran = true
+	}
+	d := bbtschedule.Done{Outcome: outcome, Events: a.events, Other: a.reply.Other}
+	if a.events > 1 {
+		d.Span = a.last.Sub(a.first)
+	}
+	if again {
+		x.gateway.counters.Add("dispatches-repeated-"+outcome.String(), 1)
+	}
+	x.flight.Ended(d, again)
+	return again
+}
+
+// lost ends a dispatch without the head of an answer.
+func (a *answer) lost(ctx context.Context, err error) bool {
+	x := a.exchange
+	outcome := outcomeOf(ctx, err)
+	again := outcome == bbtschedule.Unreachable || outcome == bbtschedule.Broken && x.route.Repeatable()
+	if a.done(outcome, again) {
+		return true
+	}
+	x.giveUp(ctx, bbtverdict.ReasonEndpointLost, err)
+	return false
+}
+
+// giveUp answers a request whose dispatch may have run.
+func (x *exchange) giveUp(ctx context.Context, reason bbtverdict.Reason, err error) {
+	if x.r.Context().Err() != nil {
+		x.reason = string(bbtverdict.ReasonCancelled)
+		panic(http.ErrAbortHandler)
+	}
+	if ctx.Err() != nil {
+		reason = bbtverdict.ReasonTimeout
+	}
+	x.refuse(bbtverdict.New(bbtverdict.MayHaveRun, reason, bbtverdict.WithCause(err)))
+}
+
+// pass passes an answer on.
+func (a *answer) pass(ctx context.Context, resp *http.Response) bool {
+	x := a.exchange
+	switch {
+	case a.reply.NotRun:
+		return a.done(bbtschedule.Rejected, true)
+	case x.answered && resp.StatusCode != http.StatusOK:
+		return a.done(bbtschedule.Failed, true)
+	case a.foreign(resp):
+		if a.done(bbtschedule.Failed, x.route.Repeatable()) {
+			return true
+		}
+		x.giveUp(ctx, bbtverdict.ReasonAnswerForeign, errors.New("answer of another request"))
+		return false
+	case resp.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() && !x.repeated():
+		return a.done(bbtschedule.Failed, true)
+	case x.route.Kind == bbtcatalog.Streaming && resp.StatusCode == http.StatusOK:
+		return a.stream(ctx, resp)
+	case resp.ContentLength > wholeAnswer:
+		return a.copy(ctx, resp)
+	default:
+		return a.whole(ctx, resp)
+	}
+}
+
+// repeated reports whether the request has used its attempts, so that the
+// endpoint's own failure is the answer.
+func (x *exchange) repeated() bool { return len(x.story)+1 >= x.route.Attempts }
+
+// foreign reports whether an answer cannot be the endpoint's own to this
+// request.
+func (a *answer) foreign(resp *http.Response) bool {
+	if id := a.exchange.head.ID; id != "" && a.reply.ID != "" && a.reply.ID != id {
+		return true
+	}
+	if resp.Header.Get("Content-Encoding") != "" {
+		return true
+	}
+	return resp.StatusCode < http.StatusMultipleChoices && !a.reply.Sealed
+}
+
+// whole reads a short answer to its end before it passes it on.
+func (a *answer) whole(ctx context.Context, resp *http.Response) bool {
+	x := a.exchange
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return a.cut(ctx, err)
+	}
+	if resp.StatusCode < http.StatusInternalServerError {
+		a.done(bbtschedule.Finished, false)
+	} else {
+		a.done(bbtschedule.Failed, false)
+	}
+	x.writeHead(resp)
+	_, _ = x.w.Write(body) // a caller that has gone needs no answer
+	return false
+}
+
+// cut ends a dispatch whose answer broke off before any of it was passed on.
+func (a *answer) cut(ctx context.Context, err error) bool {
+	outcome := bbtschedule.Broken
+	if ctx.Err() != nil {
+		outcome = bbtschedule.Cancelled
+	}
+	if a.done(outcome, outcome == bbtschedule.Broken && a.exchange.route.Repeatable()) {
+		return true
+	}
+	a.exchange.giveUp(ctx, bbtverdict.ReasonAnswerIncomplete, err)
+	return false
+}
+
+// copy passes a long answer on as it comes.
+func (a *answer) copy(ctx context.Context, resp *http.Response) bool {
+	x := a.exchange
+	x.writeHead(resp)
+	if _, err := io.Copy(x.w, resp.Body); err != nil {
+		a.broken(ctx)
+	}
+	return a.done(bbtschedule.Finished, false)
+}
+
+// broken ends an answer that the caller has a part of.
+func (a *answer) broken(ctx context.Context) {
+	x := a.exchange
+	outcome := bbtschedule.Broken
+	if ctx.Err() != nil {
+		outcome = bbtschedule.Cancelled
+	}
+	a.done(outcome, false)
+	x.reason = string(bbtverdict.ReasonAnswerIncomplete)
+	x.gateway.counters.Add("answers-broken-off", 1)
+	panic(http.ErrAbortHandler)
+}
+
+// writeHead sends the head of an answer to the caller.
+func (x *exchange) writeHead(resp *http.Response) {
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	for name, values := range resp.Header {
+		h[name] = values
+	}
+	dropHopHeaders(h)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	x.answered = true
+	x.status = resp.StatusCode
+	x.first = time.Now()
+	x.w.WriteHeader(resp.StatusCode)
+}
+
+// isConnectError reports whether no connection came about, so that nothing was
+// sent.
+func isConnectError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// splitList returns the elements of a comma-separated header value.
+func splitList(text string) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for part := range strings.SplitSeq(text, ",") {
+			if part = strings.TrimSpace(part); part != "" && !yield(part) {
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/io/bbtgateway/transport.go
@@ -0,0 +1,61 @@
+package bbtgateway
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	connectTimeout = 600 * time.Millisecond
+	// silenceTimeout is after how long unacknowledged bytes end a connection.
+	silenceTimeout = 3 * time.Second
+	keepAliveIdle  = 2 * time.Second
+	keepAliveCount = 3
+	maxAnswerHead  = 64 << 10
+)
+
+// newTransport returns a transport that opens a connection for each dispatch:
+// nothing is ever sent twice, and no byte of a former answer is read.
+func newTransport() *http.Transport {
+	d := &net.Dialer{
+		Timeout:         connectTimeout,
+		KeepAliveConfig: keepAlive(),
+		Control:         control,
+	}
+	return &http.Transport{
+		DialContext:            d.DialContext,
+		DisableKeepAlives:      true,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxAnswerHead,
+		ReadBufferSize:         8 << 10,
+		WriteBufferSize:        8 << 10,
+	}
+}
+
+// keepAlive returns the probes that find a connection that went silent.
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: time.Second, Count: keepAliveCount}
+}
+
+// Listen returns a listener for callers whose connections are found out when
+// they go silent.
+func Listen(addr string) (net.Listener, error) {
+	lc := net.ListenConfig{Control: control, KeepAliveConfig: keepAlive()}
+	return lc.Listen(context.Background(), "tcp", addr)
+}
+
+// control bounds the time for which bytes may stay unacknowledged.
+func control(_, _ string, c syscall.RawConn) error {
+	var err error
+	if cerr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silenceTimeout.Milliseconds()))
+	}); cerr != nil {
+		return cerr
+	}
+	return err
+}
--- /dev/null
+++ b/io/bbtlog/ring.go
@@ -0,0 +1,126 @@
+// Package bbtlog carries log lines from the request path to a writer without
+// ever waiting for it.
+package bbtlog
+
+import (
+	"io"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Bounds of a ring.
+const (
+	ringLines   = 4096 // lines that wait for the writer
+	spareLines  = 1024 // of them, kept for lines above the level info
+	batchBytes  = 64 << 10
+	writePeriod = 100 * time.Millisecond
+)
+
+// line is one log line with its rank.
+type line struct{ text []byte }
+
+// Ring is a zapcore.Core whose lines a goroutine writes. When it is full,
+// lines of routine go first; each loss is counted.
+type Ring struct {
+	zapcore.Encoder
+	level   zapcore.Level
+	out     io.Writer
+	lines   chan line
+	routine atomic.Int64 // lines lost at info and below
+	grave   atomic.Int64 // lines lost above info
+	stop    chan struct{}
+	done    sync.WaitGroup
+}
+
+// New returns a ring that writes JSON lines of at least a level to out.
+func New(out io.Writer, level zapcore.Level) *Ring {
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	r := &Ring{
+		Encoder: zapcore.NewJSONEncoder(cfg),
+		level:   level,
+		out:     out,
+		lines:   make(chan line, ringLines),
+		stop:    make(chan struct{}),
+	}
+	r.done.Go(r.run)
+	return r
+}
+
+// Logger returns the logger that writes to the ring.
+func (r *Ring) Logger() *zap.Logger { return zap.New(&core{ring: r, enc: r.Encoder}) }
+
+// Dropped returns how many lines were lost at info and below, and above.
+func (r *Ring) Dropped() (routine, grave int64) { return r.routine.Load(), r.grave.Load() }
+
+// Close writes what is left, as far as the writer takes it at once, and ends
+// the goroutine.
+func (r *Ring) Close() {
+	close(r.stop)
+	r.done.Wait()
+}
+
+// offer queues a line or counts its loss.
+func (r *Ring) offer(text []byte, level zapcore.Level) {
+	if level <= zapcore.InfoLevel && len(r.lines) >= ringLines-spareLines {
+		r.routine.Add(1)
+		return
+	}
+	select {
+	case r.lines <- line{text}:
+	default:
+		if level <= zapcore.InfoLevel {
+			r.routine.Add(1)
+		} else {
+			r.grave.Add(1)
+		}
+	}
+}
+
+// run writes lines in batches until the ring is closed.
+func (r *Ring) run() {
+	buf := make([]byte, 0, batchBytes)
+	for {
+		select {
+		case l := <-r.lines:
+			buf = append(buf[:0], l.text...)
+		case <-r.stop:
+			r.write(r.gather(buf[:0]))
+			return
+		}
+		pause := time.NewTimer(writePeriod)
+		select {
+		case <-pause.C:
+		case <-r.stop:
+			pause.Stop()
+		}
+		r.write(r.gather(buf))
+	}
+}
+
+// gather appends the lines that wait, up to the size of a batch.
+func (r *Ring) gather(buf []byte) []byte {
+	for len(buf) < batchBytes {
+		select {
+		case l := <-r.lines:
+			buf = append(buf, l.text...)
+		default:
+			return buf
+		}
+	}
+	return buf
+}
+
+// write passes a batch to the writer.
+func (r *Ring) write(buf []byte) {
+	if len(buf) == 0 {
+		return
+	}
+	if _, err := r.out.Write(buf); err != nil {
+		r.grave.Add(1) // the writer is the only place to tell of it
+	}
+}
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -16,7 +16,7 @@
 	DefaultInbox   = 4096
 	DefaultQueue   = 512
 	idleTimeout    = 2 * time.Minute
-	handshakeLimit = 3 * time.Second
+	handshakeLimit = time.Second
 	redialPause    = 100 * time.Millisecond
 	maxExchanges   = 1024
 	lostQueue      = 1024
@@ -218,7 +218,7 @@
 		if err != nil {
 			return
 		}
-		host, err := peerOf(conn.ConnectionState().TLS)
+		host, err := n.identity.peer(conn)
 		if err != nil {
 			n.recorder.Add("peers-refused", 1)
 			conn.CloseWithError(0, err.Error())
--- a/io/bbtplatform/client.go
+++ b/io/bbtplatform/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -31,8 +30,7 @@
 
 // Client reads one platform. It implements bluebelltray.Platform.
 type Client struct {
-	base        string
-	http        *http.Client
+	fetcher     *Fetcher
 	readTimeout time.Duration
 	watchWait   time.Duration
 }
@@ -49,8 +47,7 @@
 // New returns a client of the platform at addr, an IP:port.
 func New(addr string, opts ...Option) *Client {
 	c := &Client{
-		base:        "http://" + addr,
-		http:        &http.Client{},
+		fetcher:     NewFetcher(addr, maxValueBytes),
 		readTimeout: defaultReadTimeout,
 		watchWait:   defaultWatchWait,
 	}
@@ -100,28 +97,11 @@
 
 // get reads one resource within timeout.
 func (c *Client) get(ctx context.Context, timeout time.Duration, path string) (http.Header, []byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	header, status, data, err := c.fetcher.get(ctx, timeout, path)
 	if err != nil {
 		return nil, nil, err
 	}
-	resp, err := c.http.Do(req)
-	if err != nil {
-		return nil, nil, err
-	}
-	defer resp.Body.Close()
-	if err := checkStatus(resp.StatusCode); err != nil {
-		return nil, nil, err
-	}
-	data, err := io.ReadAll(io.LimitReader(resp.Body, maxValueBytes+1))
-	if err != nil {
-		return nil, nil, err
-	}
-	if len(data) > maxValueBytes {
-		return nil, nil, errors.Newf("value exceeds %d bytes", maxValueBytes)
-	}
-	return resp.Header, data, nil
+	return header, data, checkStatus(status)
 }
 
 // checkStatus turns a status without a value into an error.
