bbtschedule: on-time requests first, a short line, ramps of cold endpoints

An engine back from a crash got 17 requests while it showed no first event.

Now one look at the endpoints with room; a request waits only if its turn comes in time; refused callers come back late in their patience, spread, and go first; an endpoint that was cold gets two requests and two more for each first event; overdue first events count as backlog.

--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -11,8 +11,11 @@
 	assumedRead    = 0.012 // ms to read a prompt token
 	assumedGap     = 50.0  // ms between events
 	assumedAnswer  = 30.0  // ms of a plain call
+	overdueTokens  = 10000 // prompt tokens whose reading takes as long as an engine may be silent
 	fixedTokens    = 2000  // prompt tokens whose reading takes as long as an engine's fixed work
 	coldBurst      = 2.0   // requests that a cold endpoint gets at once
+	rampFirst      = 2     // requests at once at an endpoint that was cold
+	rampStep       = 2     // more for each first event that it shows
 	failurePause   = 250 * time.Millisecond
 	maxPause       = 2 * time.Second
 	rejectionPause = 60 * time.Millisecond
@@ -27,6 +30,9 @@
 	running  map[key]*run
 	readyAt  time.Time // when the engine will have read the prompts that it was sent
 	unread   int       // runs without a first event
+	sentAt   time.Time // when the first of them was sent
+	beganAt  time.Time // when the last first event came
+	proven   int       // first events since it was cold
 	read     estimate  // ms for a prompt token
 	gap      estimate  // ms between events
 	answer   estimate  // ms of a plain call
@@ -53,6 +59,9 @@
 	if share < 1 {
 		n = max(1, int(float64(n)*share))
 	}
+	if !e.cold.IsZero() {
+		n = min(n, rampFirst+rampStep*e.proven)
+	}
 	return n
 }
 
@@ -93,16 +102,39 @@
 		return answer, answer * (1 + load), 0
 	}
 	read, gap := e.pace()
-	ahead := max(0, float64(e.readyAt.Sub(now))/float64(time.Millisecond))
-	stall = ahead + read*float64(e.unreadOf(r))
+	stall = e.backlog(now) + read*float64(e.unreadOf(r))
 	first = stall + read*fixedTokens
 	events := float64(max(1, r.Output)) / float64(max(1, e.service.record.Stride))
 	return first, first + gap*events*e.service.use.or(assumedUse), stall
 }
 
+// backlog returns how long the engine reads the prompts that it was sent, in ms.
+// While their first events are overdue it takes the engine to be as slow as
+// that shows.
+func (e *endpoint) backlog(now time.Time) float64 {
+	ahead := max(0, float64(e.readyAt.Sub(now))/float64(time.Millisecond))
+	if e.unread == 0 || e.sentAt.IsZero() {
+		return ahead
+	}
+	read, _ := e.pace()
+	silent := float64(now.Sub(later(e.sentAt, e.beganAt))) / float64(time.Millisecond)
+	return max(ahead, silent-overdueTokens*read)
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // grant counts a run that begins now.
 func (e *endpoint) grant(now time.Time, r *run, share float64) {
 	e.running[r.key] = r
+	if e.unread == 0 {
+		e.sentAt = now
+	}
 	e.unread++
 	if rate := e.service.record.ColdRate; rate > 0 && now.Before(e.cold) {
 		e.coldRate.take(now, rate*share, coldBurst, 1)
@@ -127,6 +159,8 @@
 	}
 	r.began = true
 	e.unread--
+	e.beganAt = now
+	e.proven++
 	e.failures = 0
 	took := float64(now.Sub(r.granted)) / float64(time.Millisecond)
 	if !e.service.record.Engine {
--- a/core/bbtschedule/returns.go
+++ b/core/bbtschedule/returns.go
@@ -7,7 +7,8 @@
 	// divisor, up to which it waits as told (platform: answers).
 	callerPatience = 3
 	minReturn      = 100 * time.Millisecond
-	returnPart     = 0.5 // of a service's rate that is kept for callers that come back
+	returnSpread   = 0.5 // of the longest wait that callers accept, over which they are spread
+	spreadSteps    = 1024
 	returnLife     = 10 * time.Second
 	mostReturns    = 8192
 )
@@ -15,27 +16,19 @@
 // returns spreads the callers that were refused over the time to come, and
 // knows them when they come back.
 type returns struct {
-	next    map[*service]time.Time
 	awaited map[uint64]time.Time // by fingerprint, until when
 }
 
-func newReturns() returns {
-	return returns{next: make(map[*service]time.Time), awaited: make(map[uint64]time.Time)}
-}
+func newReturns() returns { return returns{awaited: make(map[uint64]time.Time)} }
 
-// schedule returns after what time a refused caller is to come again.
-func (t *returns) schedule(now time.Time, sv *service, w *waiter) time.Duration {
+// schedule returns after what time a refused caller is to come again. An
+// overload outlasts a caller's patience more often than not, so callers come
+// late in it, spread by their fingerprints.
+func (t *returns) schedule(now time.Time, w *waiter) time.Duration {
 	t.expect(now, w.reg.Print)
-	at := t.next[sv]
-	if least := now.Add(minReturn); at.Before(least) {
-		at = least
-	}
-	most := w.expires.Sub(now) / callerPatience
-	if at.Sub(now) > most {
-		return max(most, 0)
-	}
-	t.next[sv] = at.Add(time.Duration(float64(time.Second) / (returnPart * sv.perSecond(now))))
-	return at.Sub(now)
+	most := float64(w.expires.Sub(now)) / callerPatience
+	part := float64(w.reg.Print%spreadSteps) / spreadSteps
+	return max(minReturn, time.Duration(most*(1-returnSpread*part)))
 }
 
 // expect remembers a refused request.
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -170,19 +170,19 @@
 		}
 	}
 	w := newWaiter(now, k, r, again)
-	sv.push(w)
+	sv.push(now, w)
 	out := s.grant(now, sv)
 	if w.done || sv.admits(now, w) {
 		return out
 	}
 	sv.drop(w)
-	return append(out, s.refuseWaiter(now, sv, w, bbtverdict.ReasonNoRoom))
+	return append(out, s.refuseWaiter(now, w, bbtverdict.ReasonNoRoom))
 }
 
 // refuseWaiter refuses a waiting request and says when to come again.
-func (s *Scheduler) refuseWaiter(now time.Time, sv *service, w *waiter, reason bbtverdict.Reason) Action {
+func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, reason bbtverdict.Reason) Action {
 	s.refund(now, &w.reg, now.Sub(w.arrived))
-	after := s.returns.schedule(now, sv, w)
+	after := s.returns.schedule(now, w)
 	return Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(reason), RetryAfter: after}}
 }
 
@@ -275,7 +275,7 @@
 	for _, sv := range s.services {
 		for _, w := range sv.overdue(now) {
 			sv.drop(w)
-			out = append(out, s.refuseWaiter(now, sv, w, bbtverdict.ReasonDeadline))
+			out = append(out, s.refuseWaiter(now, w, bbtverdict.ReasonDeadline))
 		}
 	}
 	return out
@@ -300,25 +300,51 @@
 	return out
 }
 
-// grant gives permits to the waiting requests of a service, in order, as far
-// as its endpoints have room.
+// grant gives permits to the waiting requests of a service, as far as its
+// endpoints have room: first to those that can still keep their objective or
+// came back as told, then to the late ones.
 func (s *Scheduler) grant(now time.Time, sv *service) []Action {
+	if len(sv.waiting) == 0 {
+		return nil
+	}
+	room := sv.withRoom(now, s.share)
 	var out []Action
-	for i := 0; i < len(sv.waiting); {
-		w := sv.waiting[i]
-		e := sv.choose(now, w, s.share)
-		if e == nil {
-			i++
-			continue
+	for _, late := range [...]bool{false, true} {
+		for i := 0; i < len(sv.waiting) && len(room) > 0; {
+			w := sv.waiting[i]
+			e := s.turn(now, w, room, late)
+			if e == nil {
+				i++
+				continue
+			}
+			out = append(out, s.permit(now, sv, w, e))
+			room = sv.withRoom(now, s.share)
 		}
-		sv.drop(w)
-		sv.granted(now)
-		r := &run{key: w.key, reg: w.reg, endpoint: e, granted: now}
-		s.runs[w.key] = r
-		e.grant(now, r, s.share)
-		out = append(out, Action{w.key.host, Permit{
-			ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address,
-		}})
 	}
 	return out
 }
+
+// turn returns the endpoint for a request if it is its turn.
+func (s *Scheduler) turn(now time.Time, w *waiter, room []*endpoint, late bool) *endpoint {
+	isLate := w.late(now)
+	switch {
+	case isLate && (w.again || late):
+		return w.choose(now, room, true)
+	case isLate || late:
+		return nil
+	default:
+		return w.choose(now, room, false)
+	}
+}
+
+// permit gives a waiting request to an endpoint.
+func (s *Scheduler) permit(now time.Time, sv *service, w *waiter, e *endpoint) Action {
+	sv.drop(w)
+	sv.granted(now)
+	r := &run{key: w.key, reg: w.reg, endpoint: e, granted: now}
+	s.runs[w.key] = r
+	e.grant(now, r, s.share)
+	return Action{w.key.host, Permit{
+		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address,
+	}}
+}
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -11,13 +11,12 @@
 )
 
 const (
-	assumedHold  = 1000 // ms that a request takes its slot
-	assumedUse   = 0.6  // part of the output tokens asked for that a stream has
-	stallPart    = 0.8  // of the pause that is on time, for reading prompts beside a stream
-	rateWindow   = time.Second
-	lateWait     = 1.0 // objectives that a late request waits at most
-	neverLess    = 200 * time.Millisecond
-	answerMargin = 1.25 // factor on a forecast that has to keep an objective
+	assumedHold = 1000 // ms that a request takes its slot
+	assumedUse  = 0.6  // part of the output tokens asked for that a stream has
+	stallPart   = 0.8  // of the pause that is on time, for reading prompts beside a stream
+	rateWindow  = time.Second
+	briefPart   = 0.3 // of the usual time in a slot, below which a request is brief
+	topRank     = -1
 )
 
 // service is the waiting requests and the endpoints of one service.
@@ -48,11 +47,32 @@
 }
 
 // push puts a request into the waiting room.
-func (sv *service) push(w *waiter) {
-	i := sort.Search(len(sv.waiting), func(i int) bool { return w.before(sv.waiting[i]) })
+func (sv *service) push(now time.Time, w *waiter) {
+	if sv.record.Engine && sv.brief(&w.reg) {
+		w.rank = topRank
+	}
+	w.needs = sv.fastest(now, &w.reg)
+	i, _ := slices.BinarySearchFunc(sv.waiting, w, func(a, b *waiter) int { return cmp.Or(a.compare(b), -1) })
 	sv.waiting = slices.Insert(sv.waiting, i, w)
 }
 
+// fastest returns the time until the first event of a request at the endpoint
+// that is fastest when it has nothing else to read.
+func (sv *service) fastest(now time.Time, r *Registration) time.Duration {
+	best := -1.0
+	for _, e := range sv.endpoints {
+		if e.record.Draining || e.out {
+			continue
+		}
+		first, _, _ := e.forecast(now, r)
+		first -= e.backlog(now)
+		if best < 0 || first < best {
+			best = first
+		}
+	}
+	return time.Duration(max(best, 0) * float64(time.Millisecond))
+}
+
 // drop takes a request out of the waiting room.
 func (sv *service) drop(w *waiter) {
 	w.done = true
@@ -106,38 +126,46 @@
 	return max(1, could, float64(len(sv.grants))/rateWindow.Seconds())
 }
 
-// choose returns the endpoint on which the request is done first among those
-// that keep its objective, or, once none can keep it, among all with room. It
-// returns nil if the request has to wait.
-func (sv *service) choose(now time.Time, w *waiter, share float64) *endpoint {
-	var kept, late *endpoint
-	var keptWhole, lateWhole float64
-	left := float64(w.due.Sub(now)) / float64(time.Millisecond)
-	reachable := false
+// brief reports whether a request holds its slot for a small part of the time
+// that requests usually do.
+func (sv *service) brief(r *Registration) bool {
+	events := float64(r.Output) * sv.use.or(assumedUse) / float64(max(1, sv.record.Stride))
+	return events*sv.gap.or(assumedGap) < briefPart*sv.hold.or(assumedHold)
+}
+
+// withRoom returns the endpoints that can take a request now.
+func (sv *service) withRoom(now time.Time, share float64) []*endpoint {
+	var out []*endpoint
 	for _, e := range sv.endpoints {
-		if !e.open(now) || slices.Contains(w.reg.Exclude, e.record.ID) {
+		if len(e.running) < e.slots(share) && e.open(now) && e.bears(now, share) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// choose returns the endpoint among those with room on which the request is
+// done first while keeping its objective. If it cannot keep that, late says
+// whether it is to be sent all the same. It returns nil if the request has to
+// wait.
+func (w *waiter) choose(now time.Time, room []*endpoint, late bool) *endpoint {
+	var best *endpoint
+	var bestWhole float64
+	left := float64(w.due.Sub(now)) / float64(time.Millisecond)
+	patient := now.Sub(w.arrived) < w.reg.Aim/stallWaits
+	for _, e := range room {
+		if slices.Contains(w.reg.Exclude, e.record.ID) {
 			continue
 		}
 		first, whole, stall := e.forecast(now, &w.reg)
-		inTime := first <= left
-		reachable = reachable || inTime
-		if len(e.running) >= e.slots(share) || !e.bears(now, share) {
+		if !late && (first > left || patient && e.stalls(&w.reg, stall)) {
 			continue
 		}
-		if inTime && !e.stalls(&w.reg, stall) && (kept == nil || whole < keptWhole) {
-			kept, keptWhole = e, whole
-		}
-		if late == nil || whole < lateWhole {
-			late, lateWhole = e, whole
+		if best == nil || whole < bestWhole {
+			best, bestWhole = e, whole
 		}
 	}
-	if kept != nil {
-		return kept
-	}
-	if reachable && left > 0 && now.Sub(w.arrived) < w.reg.Aim/stallWaits {
-		return nil
-	}
-	return late
+	return best
 }
 
 // stallWaits is the part of its objective that a request waits at most, as a
@@ -154,29 +182,19 @@
 	return stall+gap > stallPart*float64(r.Pause)/float64(time.Millisecond)
 }
 
-// admits reports whether a request that found no room may wait.
+// admits reports whether a request that found no room may wait: it must be
+// likely to get its turn while it keeps its objective, or before it is given up
+// if it came back as told.
 func (sv *service) admits(now time.Time, w *waiter) bool {
 	if len(sv.endpoints) == 0 {
 		return false
 	}
-	ahead := 0
-	for _, o := range sv.waiting {
-		if o == w {
-			break
-		}
-		ahead++
-	}
-	wait := time.Duration(float64(ahead+1) / sv.perSecond(now) * float64(time.Second))
-	return wait <= w.patience()
-}
-
-// patience returns how long the request may wait from its registration.
-func (w *waiter) patience() time.Duration {
-	p := max(time.Duration(lateWait*float64(w.reg.Aim)), neverLess)
+	ahead := slices.Index(sv.waiting, w) + 1
+	wait := time.Duration(float64(ahead) / sv.perSecond(now) * float64(time.Second))
 	if w.again {
-		p *= 2
+		return wait <= w.patience()
 	}
-	return min(p, w.reg.Left/2)
+	return !now.Add(wait + w.needs).After(w.due)
 }
 
 // overdue returns the requests that have waited too long.
--- /dev/null
+++ b/core/bbtschedule/status.go
@@ -0,0 +1,64 @@
+package bbtschedule
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// ServiceStatus is what an owner knows of a service.
+type ServiceStatus struct {
+	Name      string           `json:"name"`
+	Waiting   int              `json:"waiting"`
+	PerSecond float64          `json:"per-second"` // permits that the service gives, or could give
+	Endpoints []EndpointStatus `json:"endpoints"`
+}
+
+// EndpointStatus is what an owner knows of an endpoint.
+type EndpointStatus struct {
+	ID      string  `json:"id"`
+	Running int     `json:"running"`
+	Unread  int     `json:"unread"` // runs without a first event
+	Slots   int     `json:"slots"`
+	Open    bool    `json:"open"`
+	Cold    bool    `json:"cold"`
+	Backlog float64 `json:"backlog-ms"` // until the prompts that it was sent are read
+	Read    float64 `json:"read-us"`    // for a prompt token
+	Gap     float64 `json:"gap-ms"`     // between events
+}
+
+// Status returns what the scheduler knows of each service with endpoints.
+func (s *Scheduler) Status(now time.Time) []ServiceStatus {
+	var out []ServiceStatus
+	for _, name := range slices.Sorted(maps.Keys(s.services)) {
+		sv := s.services[name]
+		if len(sv.endpoints) == 0 {
+			continue
+		}
+		st := ServiceStatus{Name: name, Waiting: len(sv.waiting), PerSecond: sv.perSecond(now)}
+		for _, e := range sv.endpoints {
+			st.Endpoints = append(st.Endpoints, e.status(now, s.share))
+		}
+		out = append(out, st)
+	}
+	return out
+}
+
+// status returns what is known of the endpoint.
+func (e *endpoint) status(now time.Time, share float64) EndpointStatus {
+	read, gap := e.pace()
+	if !e.service.record.Engine {
+		read, gap = 0, e.answer.or(0)
+	}
+	return EndpointStatus{
+		ID:      e.record.ID,
+		Running: len(e.running),
+		Unread:  e.unread,
+		Slots:   e.slots(share),
+		Open:    e.open(now),
+		Cold:    now.Before(e.cold),
+		Backlog: max(0, float64(e.readyAt.Sub(now))/float64(time.Millisecond)),
+		Read:    read * 1000,
+		Gap:     gap,
+	}
+}
--- a/core/bbtschedule/waiter.go
+++ b/core/bbtschedule/waiter.go
@@ -1,31 +1,62 @@
 package bbtschedule
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
+
+const (
+	lateWait    = 1.0 // objectives that a late request waits at most
+	returnWait  = 4.0 // objectives that a request waits at most that was refused before
+	neverLess   = 200 * time.Millisecond
+	leftDivisor = 3 // of the caller's time, the part that it waits at most
+)
 
 // waiter is a request without a permit.
 type waiter struct {
 	key     key
 	reg     Registration
+	rank    int // lower ones go first
 	arrived time.Time
-	due     time.Time // latency objective
-	expires time.Time // the caller gives up
-	again   bool      // it was refused before and has come back as told
-	done    bool      // it waits no more
+	due     time.Time     // latency objective
+	expires time.Time     // the caller gives up
+	needs   time.Duration // until the first event at the endpoint that is fastest at its arrival
+	again   bool          // it was refused before and has come back as told
+	done    bool          // it waits no more
 }
 
 // newWaiter returns the waiter of a registration that arrives now.
 func newWaiter(now time.Time, k key, r Registration, again bool) *waiter {
-	return &waiter{key: k, reg: r, arrived: now, due: now.Add(r.Objective), expires: now.Add(r.Left), again: again}
+	return &waiter{key: k, reg: r, rank: r.Tier, arrived: now, due: now.Add(r.Objective), expires: now.Add(r.Left), again: again}
+}
+
+// late reports whether no endpoint can keep the objective.
+func (w *waiter) late(now time.Time) bool { return now.Add(w.needs).After(w.due) }
+
+// compare orders waiting requests by rank, then callers that came back, then by
+// arrival.
+func (w *waiter) compare(o *waiter) int {
+	return cmp.Or(cmp.Compare(w.rank, o.rank), compareBool(o.again, w.again), w.arrived.Compare(o.arrived))
 }
 
-// before reports whether w goes before o: by tier, then callers that came back,
-// then by arrival.
-func (w *waiter) before(o *waiter) bool {
-	if w.reg.Tier != o.reg.Tier {
-		return w.reg.Tier < o.reg.Tier
+// compareBool orders false before true.
+func compareBool(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
 	}
-	if w.again != o.again {
-		return w.again
+}
+
+// patience returns how long the request may wait from its registration.
+func (w *waiter) patience() time.Duration {
+	objectives := lateWait
+	if w.again {
+		objectives = returnWait
 	}
-	return w.arrived.Before(o.arrived)
+	p := max(time.Duration(objectives*float64(w.reg.Aim)), neverLess)
+	return min(p, w.reg.Left/leftDivisor)
 }
--- a/io/bbtapp/edge.go
+++ b/io/bbtapp/edge.go
@@ -24,8 +24,7 @@
 	// drop its address: an address answer's lifetime and some time to spare.
 	callersGone = 2200 * time.Millisecond
 	// graceMargin is the part of the grace time that is left for the exit.
-	graceMargin = time.Second
-	drainPoll   = 50 * time.Millisecond
+	graceMargin = 700 * time.Millisecond
 	headerTime  = 10 * time.Second
 	idleTime    = 75 * time.Second
 )
@@ -74,7 +73,7 @@
 		kratos.Name("bluebelltray"),
 		kratos.Server(front, directory, ready),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
-		kratos.StopTimeout(graceMargin),
+		kratos.StopTimeout(max(graceMargin, s.Bounds.Grace-callersGone-graceMargin)),
 		kratos.BeforeStop(a.drain))
 	return a, nil
 }
@@ -119,17 +118,16 @@
 	return err
 }
 
-// drain serves on until callers have dropped this host's address and its
-// requests have ended, or the grace time is nearly over.
-func (a *Edge) drain(context.Context) error {
-	began := time.Now()
+// drain serves on until callers have dropped this host's address. After it no
+// request is taken; those that run have until the stop's time limit.
+func (a *Edge) drain(ctx context.Context) error {
 	a.edge.Leave()
-	for {
-		time.Sleep(drainPoll)
-		gone := time.Since(began)
-		if gone >= callersGone && a.gateway.Active() == 0 || gone >= a.settings.Bounds.Grace-graceMargin {
-			a.log.Info("drained", zap.Duration("took", gone), zap.Int64("requests", a.gateway.Active()))
-			return nil
-		}
+	wait := time.NewTimer(min(callersGone, a.settings.Bounds.Grace/2))
+	defer wait.Stop()
+	select {
+	case <-wait.C:
+	case <-ctx.Done():
 	}
+	a.log.Info("taking no more requests", zap.Int64("requests", a.gateway.Active()))
+	return nil
 }
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -25,6 +25,7 @@
 	tickPeriod    = 50 * time.Millisecond
 	busyPeriod    = 10 * time.Millisecond // while requests wait for endpoints
 	memberPeriod  = 200 * time.Millisecond
+	loadPeriod    = time.Second            // between log lines on the owner's endpoints
 	catalogPeriod = 200 * time.Millisecond // for what time alone changes
 )
 
@@ -67,6 +68,7 @@
 	asked       time.Time                     // when a peer was asked for its catalog last
 	memberAt    time.Time
 	catalogAt   time.Time
+	loadAt      time.Time
 
 	entry     *bbtentry.Entry
 	flights   map[bbtschedule.RequestID]*Flight
@@ -207,6 +209,19 @@
 	}
 	e.doEntry(now, e.entry.Tick(now))
 	e.doScheduler(e.scheduler.Tick(now))
+	e.logLoad(now)
+}
+
+// logLoad logs once in a while what the owner knows of its endpoints.
+func (e *Edge) logLoad(now time.Time) {
+	if e.entry.Owner() != e.settings.Host || now.Sub(e.loadAt) < loadPeriod {
+		return
+	}
+	e.loadAt = now
+	for _, st := range e.scheduler.Status(now) {
+		e.log.Info("load", zap.String("service", st.Name), zap.Int("waiting", st.Waiting),
+			zap.Float64("per-second", st.PerSecond), zap.Float64("share", e.scheduler.Share()), zap.Any("endpoints", st.Endpoints))
+	}
 }
 
 // post passes an event to run, waiting for room; it reports false once the
