bbtschedule: callers that came back do not go before requests that can be on time

Refused callers came back, went first, were late for having waited, and pushed fresh ones into being refused: the overload fed itself.

--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -301,8 +301,8 @@
 }
 
 // grant gives permits to the waiting requests of a service, as far as its
-// endpoints have room: first to those that can still keep their objective or
-// came back as told, then to the late ones.
+// endpoints have room: first to those that can still keep their objective, then
+// to the late ones.
 func (s *Scheduler) grant(now time.Time, sv *service) []Action {
 	if len(sv.waiting) == 0 {
 		return nil
@@ -326,15 +326,10 @@
 
 // turn returns the endpoint for a request if it is its turn.
 func (s *Scheduler) turn(now time.Time, w *waiter, room []*endpoint, late bool) *endpoint {
-	isLate := w.late(now)
-	switch {
-	case isLate && (w.again || late):
-		return w.choose(now, room, true)
-	case isLate || late:
+	if late != w.late(now) {
 		return nil
-	default:
-		return w.choose(now, room, false)
 	}
+	return w.choose(now, room, late)
 }
 
 // permit gives a waiting request to an endpoint.
--- a/core/bbtschedule/waiter.go
+++ b/core/bbtschedule/waiter.go
@@ -30,8 +30,9 @@
 	return &waiter{key: k, reg: r, rank: r.Tier, arrived: now, due: now.Add(r.Objective), expires: now.Add(r.Left), again: again}
 }
 
-// late reports whether no endpoint can keep the objective.
-func (w *waiter) late(now time.Time) bool { return now.Add(w.needs).After(w.due) }
+// late reports whether no endpoint can keep the objective. A caller that was
+// refused before is late for having waited.
+func (w *waiter) late(now time.Time) bool { return w.again || now.Add(w.needs).After(w.due) }
 
 // compare orders waiting requests by rank, then callers that came back, then by
 // arrival.
