bbtschedule: only what goes before a request counts as ahead of it

Cause: a fresh request was refused for a line of callers that had come back, which goes behind it. Callers that come back wait two objectives, not four: longer ones left before their answer began.

--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -189,7 +189,12 @@
 	if len(sv.endpoints) == 0 {
 		return false
 	}
-	ahead := slices.Index(sv.waiting, w) + 1
+	ahead, late := 1, w.late(now)
+	for _, o := range sv.waiting {
+		if o != w && (o.late(now) == late && o.compare(w) < 0 || late && !o.late(now)) {
+			ahead++
+		}
+	}
 	wait := time.Duration(float64(ahead) / sv.perSecond(now) * float64(time.Second))
 	if w.again {
 		return wait <= w.patience()
--- a/core/bbtschedule/waiter.go
+++ b/core/bbtschedule/waiter.go
@@ -7,7 +7,7 @@
 
 const (
 	lateWait    = 1.0 // objectives that a late request waits at most
-	returnWait  = 4.0 // objectives that a request waits at most that was refused before
+	returnWait  = 2.0 // objectives that a request waits at most that was refused before
 	neverLess   = 200 * time.Millisecond
 	leftDivisor = 3 // of the caller's time, the part that it waits at most
 )
