bbtschedule: limits of accounts as a rate with a burst over the window

With a rate and a burst what comes after the restart is the rate alone, since nothing is taken to be left from before. The share of an owner is widened by half of the tolerance, not all of it.

--- a/core/bbtschedule/meter.go
+++ b/core/bbtschedule/meter.go
@@ -49,25 +49,19 @@
 	return sum
 }
 
-// Until returns how long it takes until the use of the window has fallen to
-// most by time alone.
-func (m *Meter) Until(now time.Time, most float64) time.Duration {
-	sum := m.Sum(now)
+// Walk calls f for each part of the window, the oldest first, with its age.
+func (m *Meter) Walk(now time.Time, f func(ago time.Duration, n float64)) {
+	m.advance(now)
 	for back := int64(meterSteps); back >= 0; back-- {
-		if sum <= most {
-			return time.Duration(meterSteps-back) * m.length()
-		}
-		sum -= m.parts[(m.step-back)%int64(len(m.parts))]
+		f(time.Duration(back)*m.length(), m.parts[(m.step-back)%int64(len(m.parts))])
 	}
-	return m.window
 }
 
 // Each calls f for each part of the window that counted anything, with its age.
 func (m *Meter) Each(now time.Time, f func(ago time.Duration, n float64)) {
-	m.advance(now)
-	for back := int64(0); back <= meterSteps; back++ {
-		if n := m.parts[(m.step-back)%int64(len(m.parts))]; n > 0 {
-			f(time.Duration(back)*m.length(), n)
+	m.Walk(now, func(ago time.Duration, n float64) {
+		if n > 0 {
+			f(ago, n)
 		}
-	}
+	})
 }
--- a/core/bbtschedule/rate.go
+++ b/core/bbtschedule/rate.go
@@ -11,15 +11,40 @@
 // counts; the rest is for hosts that cannot be reached.
 const tolerancePart = 0.5
 
-// limit returns what an account may use within the operators' window.
-func (s *Scheduler) limit(a *bbtcatalog.Account) float64 {
+// allowance is what an account may use: a rate with a burst.
+type allowance struct {
+	rate  float64 // units per second
+	burst float64 // units
+}
+
+// allowed returns what an account may use under this owner's share, such that
+// its use within the operators' window keeps their limit.
+func (s *Scheduler) allowed(a *bbtcatalog.Account) allowance {
 	b := s.bounds
-	base := a.Rate*b.RateWindow.Seconds() + a.Burst
+	window := b.RateWindow.Seconds()
 	slack := b.RateSlack
 	if !a.InTokens && a.Plain > 0 {
 		slack /= a.Plain
 	}
-	return s.share * (base*(1+tolerancePart*b.RateOver) + tolerancePart*slack)
+	most := (a.Rate*window+a.Burst)*(1+tolerancePart*b.RateOver) + tolerancePart*slack
+	rate := a.Rate * (1 + tolerancePart*b.RateOver/2)
+	return allowance{rate: s.share * rate, burst: s.share * (most - rate*window)}
+}
+
+// left returns what an account may use now, from its use in the window. What
+// was used before this process began is unknown, so nothing is taken to be left
+// from then if others may have been serving.
+func (s *Scheduler) left(now time.Time, m *Meter, al allowance) float64 {
+	level := al.burst
+	step := m.length().Seconds()
+	m.Walk(now, func(ago time.Duration, n float64) {
+		level = min(al.burst, level+al.rate*step)
+		if s.assumeUsed && ago > now.Sub(s.born) {
+			level = 0
+		}
+		level -= n
+	})
+	return level
 }
 
 // charge counts a request's cost against its account. It returns how long to
@@ -29,9 +54,9 @@
 	if a == nil || a.Rate <= 0 {
 		return 0, true
 	}
-	m, limit := s.meter(now, a), s.limit(a)
-	if m.Sum(now)+r.Cost > limit {
-		return m.Until(now, limit-r.Cost), false
+	m, al := s.meter(a), s.allowed(a)
+	if lacks := r.Cost - s.left(now, m, al); lacks > 0 {
+		return time.Duration(lacks / al.rate * float64(time.Second)), false
 	}
 	m.Add(now, 0, r.Cost)
 	return 0, true
@@ -40,26 +65,16 @@
 // refund takes the cost of a request back that has not run.
 func (s *Scheduler) refund(now time.Time, r *Registration, ago time.Duration) {
 	if a := s.index.Account(r.Account); a != nil && a.Rate > 0 && r.Attempt == 0 {
-		s.meter(now, a).Add(now, ago, -r.Cost)
+		s.meter(a).Add(now, ago, -r.Cost)
 	}
 }
 
-// meter returns an account's meter. What was used before this process began is
-// taken to be the limit, if others may have been serving then.
-func (s *Scheduler) meter(now time.Time, a *bbtcatalog.Account) *Meter {
+// meter returns an account's meter.
+func (s *Scheduler) meter(a *bbtcatalog.Account) *Meter {
 	m := s.meters[a.Name]
-	if m != nil {
-		return m
-	}
-	m = NewMeter(s.bounds.RateWindow)
-	s.meters[a.Name] = m
-	unknown := s.bounds.RateWindow - now.Sub(s.born)
-	if !s.assumeUsed || unknown <= 0 {
-		return m
-	}
-	part := s.limit(a) / meterSteps
-	for ago := now.Sub(s.born); ago < s.bounds.RateWindow; ago += m.length() {
-		m.Add(now, ago, part)
+	if m == nil {
+		m = NewMeter(s.bounds.RateWindow)
+		s.meters[a.Name] = m
 	}
 	return m
 }
@@ -68,7 +83,7 @@
 func (s *Scheduler) TakeUse(now time.Time, used []Use) {
 	for _, u := range used {
 		if a := s.index.Account(u.Account); a != nil && a.Rate > 0 {
-			s.meter(now, a).Add(now, u.Ago, u.Amount)
+			s.meter(a).Add(now, u.Ago, u.Amount)
 		}
 	}
 }
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -116,8 +116,8 @@
 }
 
 // setShare sets the part of all limits that this host may use as an owner: that
-// of the hosts that follow it among all that may run, widened by what the
-// operators' bounds allow beyond the limits.
+// of the hosts that follow it among all that may run, widened by half of what
+// the operators' bounds allow beyond the limits.
 func (e *Edge) setShare(now time.Time) {
 	known, following := 1, 1
 	for _, h := range e.hosts {
@@ -131,7 +131,7 @@
 	}
 	share := aloneShare
 	if known > 1 {
-		share = min(1, float64(following)/float64(known)+e.settings.Bounds.RateOver)
+		share = min(1, float64(following)/float64(known)+e.settings.Bounds.RateOver/2)
 	}
 	if known > 1 && following == 1 {
 		share = 1 / float64(known)
--- a/io/bbtlog/ring.go
+++ b/io/bbtlog/ring.go
@@ -14,9 +14,9 @@
 
 // Bounds of a ring.
 const (
-	ringLines   = 4096 // lines that wait for the writer
-	spareLines  = 1024 // of them, kept for lines above the level info
-	batchBytes  = 64 << 10
+	ringLines   = 4096    // lines that wait for the writer
+	spareLines  = 1024    // of them, kept for lines above the level info
+	batchBytes  = 4 << 10 // a pipe takes so many in one piece
 	writePeriod = 100 * time.Millisecond
 )
 
@@ -83,13 +83,13 @@
 
 // run writes lines in batches until the ring is closed.
 func (r *Ring) run() {
-	buf := make([]byte, 0, batchBytes)
+	batch := batch{ring: r}
 	for {
 		select {
 		case l := <-r.lines:
-			buf = append(buf[:0], l.text...)
+			batch.add(l)
 		case <-r.stop:
-			r.write(r.gather(buf[:0]))
+			batch.drain()
 			return
 		}
 		pause := time.NewTimer(writePeriod)
@@ -98,21 +98,41 @@
 		case <-r.stop:
 			pause.Stop()
 		}
-		r.write(r.gather(buf))
+		batch.drain()
 	}
 }
 
-// gather appends the lines that wait, up to the size of a batch.
-func (r *Ring) gather(buf []byte) []byte {
-	for len(buf) < batchBytes {
+// batch gathers lines that are written together.
+type batch struct {
+	ring *Ring
+	buf  []byte
+}
+
+// add adds a line, writing what was gathered if it would not fit.
+func (b *batch) add(l line) {
+	if len(b.buf)+len(l.text) > batchBytes {
+		b.flush()
+	}
+	b.buf = append(b.buf, l.text...)
+}
+
+// drain writes all lines that wait.
+func (b *batch) drain() {
+	for {
 		select {
-		case l := <-r.lines:
-			buf = append(buf, l.text...)
+		case l := <-b.ring.lines:
+			b.add(l)
 		default:
-			return buf
+			b.flush()
+			return
 		}
 	}
-	return buf
+}
+
+// flush writes what was gathered.
+func (b *batch) flush() {
+	b.ring.write(b.buf)
+	b.buf = b.buf[:0]
 }
 
 // write passes a batch to the writer.
