bbtschedule: tests of its loads and limits; crashes counted by incarnation

Cause: a request that crashes a server which starts again under its name was counted once however often it did. Found by TestCrashingRequestIsRefusedAfterTwoEndpoints, 10 runs where 2 were wanted.

--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -43,11 +43,20 @@
 	held     prefixes
 }
 
+// incarnation names one run of a server.
+type incarnation struct {
+	id   string
+	born int64 // Unix ms
+}
+
 // newEndpoint returns an endpoint without work.
 func newEndpoint(s *service, record bbtcatalog.Endpoint) *endpoint {
 	return &endpoint{record: record, service: s, running: make(map[key]*run)}
 }
 
+// incarnation names this run of the server.
+func (e *endpoint) incarnation() incarnation { return incarnation{e.record.ID, e.record.Born} }
+
 // slots returns how many requests it may run at once under a share of the
 // fleet.
 func (e *endpoint) slots(share float64) int {
--- /dev/null
+++ b/core/bbtschedule/endpoint_test.go
@@ -0,0 +1,214 @@
+package bbtschedule
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+)
+
+// addCold lets a new endpoint appear at a running scheduler.
+func addCold(s *Scheduler, now time.Time, id string) []Action {
+	l := listed("model", 1, 10)
+	l[0].Endpoint.ID, l[0].Taken = id, now
+	return s.SetCatalog(now, s.index, l)
+}
+
+func TestColdEndpointIsBorneGently(t *testing.T) {
+	s := newFleet(0, 10)
+	now := start.Add(10 * time.Second)
+	addCold(s, now, "cold")
+	l := newLoad(s, 1)
+	l.hold = 10 * time.Millisecond
+	l.read = 5 * time.Millisecond
+	var grants []time.Time
+	l.onGrant = func(now time.Time, _ Permit) { grants = append(grants, now) }
+	l.steady(10*time.Second, 13*time.Second, 200, func(i int) Registration { return stream(i, 1) })
+	l.run(13 * time.Second)
+	b := bounds()
+	most := 20*b.ColdOver + b.ColdSlack
+	for i, at := range grants {
+		n := 0
+		for _, other := range grants[i:] {
+			if other.Sub(at) < time.Second && other.Before(start.Add(13*time.Second)) {
+				n++
+			}
+		}
+		if float64(n) > most {
+			t.Fatalf("got %d requests within a second from %v, want at most %v", n, at.Sub(start), most)
+		}
+	}
+	if len(grants) < 30 {
+		t.Errorf("got %d requests in 3 s, want about 20 a second", len(grants))
+	}
+}
+
+// Two owners with half of the hosts each stay within a cold endpoint's bound
+// together.
+func TestSharesOfTwoOwnersKeepAColdEndpoint(t *testing.T) {
+	b := bounds()
+	total := 0
+	for range 2 {
+		s := newFleet(0, 10)
+		s.SetShare(0.5 + b.RateOver/2)
+		addCold(s, start, "cold")
+		for i := range 1000 {
+			now := start.Add(time.Duration(i) * time.Millisecond)
+			for id := range permits(s.Register(now, "host", stream(i, 1))) {
+				total++
+				s.Began(now, "host", id)
+				s.Done(now, "host", Done{ID: id, Outcome: Finished})
+			}
+		}
+	}
+	if most := 20*b.ColdOver + b.ColdSlack; float64(total) > most {
+		t.Errorf("got %d requests in a second, want at most %v", total, most)
+	}
+}
+
+func TestColdEndpointRampsUpWithWhatItShows(t *testing.T) {
+	s := newFleet(0, 10)
+	now := start.Add(time.Second)
+	addCold(s, now, "cold")
+	now = now.Add(5 * time.Second) // its cold time is over, but it has shown nothing
+	granted := 0
+	for i := range 10 {
+		granted += len(permits(s.Register(now, "host", stream(i, 1))))
+	}
+	if granted != rampFirst {
+		t.Errorf("got %d requests at once, want %d", granted, rampFirst)
+	}
+	now = now.Add(50 * time.Millisecond)
+	s.Began(now, "host", 0)
+	granted = 0
+	for i := 10; i < 20; i++ {
+		granted += len(permits(s.Register(now, "host", stream(i, 1))))
+	}
+	if granted != rampStep {
+		t.Errorf("got %d more after a first event, want %d", granted, rampStep)
+	}
+}
+
+func TestSilentEngineGetsNoMore(t *testing.T) {
+	s := newFleet(2, 10)
+	s.Register(start, "host", stream(1, 1))
+	first := s.runs[key{"host", 1}].endpoint
+	now := start.Add(2 * time.Second)
+	for i := 10; i < 18; i++ {
+		for _, p := range permits(s.Register(now, "host", stream(i, 1))) {
+			if p.Endpoint == first.record.ID {
+				t.Fatalf("got request %d at the engine that shows nothing", i)
+			}
+		}
+	}
+}
+
+func TestSlowEngineIsKeptFromStallingItsStreams(t *testing.T) {
+	s := newFleet(1, 10)
+	e := s.byID["model-0"]
+	e.read.learn(0.05)
+	s.Register(start, "host", stream(1, 0))
+	long := stream(2, 0)
+	long.Prompt = 5000 // 250 ms, more than the streams beside it may pause
+	long.Objective, long.Aim = 2*time.Second, 2*time.Second
+	if got := permits(s.Register(start, "host", long)); len(got) != 0 {
+		t.Errorf("got a permit at once, want the long prompt to wait")
+	}
+	if got := permits(s.Tick(start.Add(long.Aim/stallWaits + time.Millisecond))); len(got) != 1 {
+		t.Errorf("got %d permits after its wait, want 1", len(got))
+	}
+}
+
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	for name, change := range map[string]func(*bbtcatalog.Listed){
+		"draining": func(l *bbtcatalog.Listed) { l.Endpoint.Draining = true },
+		"zone out": func(l *bbtcatalog.Listed) { l.Out = true },
+	} {
+		s := newFleet(1, 10)
+		l := listed("model", 1, 10)
+		change(&l[0])
+		s.SetCatalog(start, s.index, l)
+		out := s.Register(start, "host", stream(1, 1))
+		if got := permits(out); len(got) != 0 {
+			t.Errorf("%s: got permits %v, want none", name, got)
+		}
+	}
+}
+
+func TestFailedEndpointIsPaused(t *testing.T) {
+	s := newFleet(2, 10)
+	s.Register(start, "host", stream(1, 1))
+	bad := s.runs[key{"host", 1}].endpoint.record.ID
+	s.Done(start, "host", Done{ID: 1, Outcome: Unreachable})
+	for i := 2; i < 6; i++ {
+		for _, p := range permits(s.Register(start, "host", stream(i, 1))) {
+			if p.Endpoint == bad {
+				t.Errorf("got request %d at the endpoint that cannot be reached", i)
+			}
+		}
+	}
+}
+
+func TestExcludedEndpointIsNotChosen(t *testing.T) {
+	s := newFleet(2, 10)
+	r := stream(1, 1)
+	r.Exclude = []string{"model-0"}
+	if got := permits(s.Register(start, "host", r))[1].Endpoint; got != "model-1" {
+		t.Errorf("got %q, want model-1", got)
+	}
+}
+
+func TestFasterEngineIsPreferred(t *testing.T) {
+	s := newFleet(2, 10)
+	s.byID["model-0"].gap.learn(100)
+	s.byID["model-1"].gap.learn(20)
+	if got := permits(s.Register(start, "host", stream(1, 1)))[1].Endpoint; got != "model-1" {
+		t.Errorf("got %q, want the faster model-1", got)
+	}
+}
+
+func TestKeptPartsAttractARequest(t *testing.T) {
+	s := newFleet(2, 10)
+	r := stream(1, 1)
+	r.Prompt = 5000
+	r.Parts = []Part{{ID: 7, Tokens: 4500}, {ID: 8, Tokens: 500}}
+	first := permits(s.Register(start, "host", r))[1].Endpoint
+	s.Began(start, "host", 1)
+	s.Done(start, "host", Done{ID: 1, Outcome: Finished, Events: 30, Span: time.Second})
+	r.ID = 2
+	if got := permits(s.Register(start, "host", r))[2].Endpoint; got != first {
+		t.Errorf("got %q, want %q, which holds the prompt's parts", got, first)
+	}
+}
+
+func TestNewRunOfAnEndpointStartsAnew(t *testing.T) {
+	s := newFleet(1, 10)
+	s.byID["model-0"].gap.learn(500)
+	l := listed("model", 1, 10)
+	l[0].Endpoint.Born = 5
+	now := start.Add(time.Second)
+	s.SetCatalog(now, s.index, l)
+	e := s.byID["model-0"]
+	if e.gap.known || !now.Before(e.cold) {
+		t.Errorf("got gap known %t and cold %t, want a cold endpoint of which nothing is known", e.gap.known, now.Before(e.cold))
+	}
+}
+
+func BenchmarkRegisterWhenFull(b *testing.B) {
+	for _, n := range []int{12, 112, 600} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			s := newFleet(n, 8)
+			for i := range n * 8 {
+				s.Register(start, "host", stream(i, 1))
+			}
+			b.ReportAllocs()
+			i := n * 8
+			for b.Loop() {
+				i++
+				s.Register(start, "host", stream(i, 1))
+				s.Withdraw(start, "host", RequestID(i))
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/bbtschedule/fleet_test.go
@@ -0,0 +1,245 @@
+package bbtschedule
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtfleet"
+)
+
+// start is when the tests' time begins.
+var start = time.Unix(1_000_000, 0)
+
+// bounds are limits like those of a small site.
+func bounds() bbtcatalog.Bounds {
+	return bbtcatalog.Bounds{
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetrySlack: 50,
+		RateWindow: 8 * time.Second, RateOver: 0.25, RateSlack: 1000,
+		ColdOver: 1.5, ColdSlack: 5,
+	}
+}
+
+// engines returns a configuration of one service of engines.
+func engines(slots int) *bbtcatalog.Config {
+	return &bbtcatalog.Config{
+		Version: 1,
+		Services: []bbtcatalog.Service{
+			{Name: "model", Engine: true, Slots: slots, Stride: 6, ColdRate: 20, ColdTime: 3 * time.Second},
+			{Name: "plain"},
+		},
+		Accounts: []bbtcatalog.Account{{Name: "salons", InTokens: true, Rate: 1000, Burst: 1000}},
+	}
+}
+
+// listed returns n endpoints of a service.
+func listed(service string, n, slots int) []bbtcatalog.Listed {
+	var out []bbtcatalog.Listed
+	for i := range n {
+		out = append(out, bbtcatalog.Listed{Endpoint: bbtcatalog.Endpoint{
+			ID: fmt.Sprintf("%s-%d", service, i), Service: service, Address: fmt.Sprintf("10.0.0.%d:1", i+1),
+			Zone: fmt.Sprintf("zone-%d", i%2), Slots: slots,
+		}, Taken: start})
+	}
+	return out
+}
+
+// newFleet returns a scheduler of n engines.
+func newFleet(n, slots int, opts ...Option) *Scheduler {
+	s := New(bounds(), opts...)
+	s.SetCatalog(start, bbtcatalog.NewIndex(engines(slots)), listed("model", n, slots))
+	return s
+}
+
+// stream returns a registration of a stream.
+func stream(id int, tier int) Registration {
+	return Registration{
+		ID: RequestID(id), Service: "model", Tier: tier, Prompt: 600, Output: 300, Print: uint64(id) + 1,
+		Left: 12 * time.Second, Objective: 300 * time.Millisecond, Aim: 300 * time.Millisecond, Pause: 300 * time.Millisecond,
+	}
+}
+
+// permits returns the permits among actions, by request.
+func permits(actions []Action) map[RequestID]Permit {
+	out := make(map[RequestID]Permit)
+	for _, a := range actions {
+		if p, ok := a.Message.(Permit); ok {
+			out[p.ID] = p
+		}
+	}
+	return out
+}
+
+// refusals returns the refusals among actions, by request.
+func refusals(actions []Action) map[RequestID]Refusal {
+	out := make(map[RequestID]Refusal)
+	for _, a := range actions {
+		if r, ok := a.Message.(Refusal); ok {
+			out[r.ID] = r
+		}
+	}
+	return out
+}
+
+// loadEvent is something that happens in a load.
+type loadEvent struct {
+	at  time.Time
+	seq int
+	do  func(now time.Time) []Action
+}
+
+// loadHeap orders events by time.
+type loadHeap []loadEvent
+
+func (h loadHeap) Len() int { return len(h) }
+func (h loadHeap) Less(i, j int) bool {
+	return h[i].at.Before(h[j].at) || h[i].at.Equal(h[j].at) && h[i].seq < h[j].seq
+}
+func (h loadHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *loadHeap) Push(x any)   { *h = append(*h, x.(loadEvent)) }
+func (h *loadHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// caller is one request of a load with its one retry.
+type caller struct {
+	reg    Registration
+	born   time.Time
+	tries  int
+	first  time.Time // first event; zero if it never came
+	ended  bool
+	refuse int
+}
+
+// load plays callers against a scheduler in virtual time. Engines show the
+// first event after reading and hold their slot for a time.
+type load struct {
+	s       *Scheduler
+	rng     *rand.Rand
+	events  loadHeap
+	seq     int
+	callers map[RequestID]*caller
+	next    RequestID
+	read    time.Duration // to the first event
+	hold    time.Duration // mean time in a slot
+	onGrant func(now time.Time, p Permit)
+}
+
+func newLoad(s *Scheduler, seed uint64) *load {
+	return &load{
+		s: s, rng: rand.New(rand.NewPCG(seed, 1)), callers: make(map[RequestID]*caller),
+		read: 40 * time.Millisecond, hold: time.Second,
+	}
+}
+
+// at adds an event.
+func (l *load) at(t time.Time, do func(now time.Time) []Action) {
+	l.seq++
+	heap.Push(&l.events, loadEvent{t, l.seq, do})
+}
+
+// arrive adds a new caller at a time.
+func (l *load) arrive(t time.Time, reg Registration) *caller {
+	l.next++
+	reg.ID, reg.Print = l.next, uint64(l.next)*7919
+	c := &caller{reg: reg, born: t}
+	l.callers[reg.ID] = c
+	l.at(t, func(now time.Time) []Action { return l.submit(now, c) })
+	return c
+}
+
+// submit registers a caller's attempt.
+func (l *load) submit(now time.Time, c *caller) []Action {
+	c.tries++
+	c.reg.Left = c.born.Add(12 * time.Second).Sub(now)
+	return l.s.Register(now, "host", c.reg)
+}
+
+// steady adds callers at a rate from one time to another.
+func (l *load) steady(from, to time.Duration, perSecond float64, reg func(i int) Registration) {
+	i := 0
+	for t := from; t < to; t += time.Duration(l.rng.ExpFloat64() / perSecond * float64(time.Second)) {
+		l.arrive(start.Add(t), reg(i))
+		i++
+	}
+}
+
+// run plays all events up to a time.
+func (l *load) run(until time.Duration) {
+	for t := time.Duration(0); t < until; t += 10 * time.Millisecond {
+		l.at(start.Add(t), l.s.Tick)
+	}
+	for l.events.Len() > 0 {
+		e := heap.Pop(&l.events).(loadEvent)
+		l.follow(e.at, e.do(e.at))
+	}
+}
+
+// follow carries out what the scheduler decided.
+func (l *load) follow(now time.Time, actions []Action) {
+	for _, a := range actions {
+		switch m := a.Message.(type) {
+		case Permit:
+			l.granted(now, a.To, m)
+		case Refusal:
+			c := l.callers[m.ID]
+			c.refuse++
+			if c.tries > 1 || m.RetryAfter <= 0 {
+				c.ended = true
+				continue
+			}
+			l.at(now.Add(m.RetryAfter), func(now time.Time) []Action { return l.submit(now, c) })
+		}
+	}
+}
+
+// granted plays a request at its engine.
+func (l *load) granted(now time.Time, host bbtfleet.HostID, p Permit) {
+	if l.onGrant != nil {
+		l.onGrant(now, p)
+	}
+	c := l.callers[p.ID]
+	l.at(now.Add(l.read), func(now time.Time) []Action {
+		c.first = now
+		return l.s.Began(now, host, p.ID)
+	})
+	hold := l.read + time.Duration(l.rng.ExpFloat64()*float64(l.hold))
+	l.at(now.Add(hold), func(now time.Time) []Action {
+		c.ended = true
+		return l.s.Done(now, host, Done{ID: p.ID, Outcome: Finished, Events: 30, Span: hold - l.read})
+	})
+}
+
+// inTime returns the part of the callers born between two times that got their
+// first event in time.
+func (l *load) inTime(from, to time.Duration) float64 {
+	all, good := 0, 0
+	for _, c := range l.callers {
+		if c.born.Before(start.Add(from)) || !c.born.Before(start.Add(to)) {
+			continue
+		}
+		all++
+		if !c.first.IsZero() && c.first.Sub(c.born) <= c.reg.Aim {
+			good++
+		}
+	}
+	return float64(good) / float64(max(all, 1))
+}
+
+func TestLoadNeedsCallers(t *testing.T) {
+	l := newLoad(newFleet(1, 4), 1)
+	c := l.arrive(start, stream(0, 1))
+	l.run(3 * time.Second)
+	if c.first.IsZero() || !c.ended {
+		t.Fatalf("got %+v, want an answered request", c)
+	}
+	if got := l.inTime(0, time.Second); got != 1 {
+		t.Errorf("got %v in time, want 1", got)
+	}
+}
--- /dev/null
+++ b/core/bbtschedule/limit_test.go
@@ -0,0 +1,178 @@
+package bbtschedule
+
+import (
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+)
+
+// spender sends an account's requests as fast as its limit allows and keeps
+// their times.
+type spender struct {
+	used []time.Time
+	cost float64
+}
+
+// spend sends for a while from a time on.
+func (p *spender) spend(s *Scheduler, from, to time.Duration) {
+	id := 0
+	for t := from; t < to; t += 5 * time.Millisecond {
+		now := start.Add(t)
+		id++
+		r := Registration{ID: RequestID(id), Service: "plain", Account: "salons", Cost: p.cost,
+			Left: time.Second, Objective: time.Second, Aim: time.Second}
+		for got := range permits(s.Register(now, "host", r)) {
+			p.used = append(p.used, now)
+			s.Done(now, "host", Done{ID: got, Outcome: Finished})
+		}
+	}
+}
+
+// most returns the largest use in any window of the operators' length.
+func (p *spender) most() float64 {
+	best := 0
+	for i, at := range p.used {
+		n := 0
+		for _, other := range p.used[i:] {
+			if other.Sub(at) <= bounds().RateWindow {
+				n++
+			}
+		}
+		best = max(best, n)
+	}
+	return float64(best) * p.cost
+}
+
+// newSpending returns a scheduler of one plain endpoint.
+func newSpending(opts ...Option) *Scheduler {
+	s := New(bounds(), opts...)
+	s.SetCatalog(start, bbtcatalog.NewIndex(engines(4)), listed("plain", 1, 100))
+	return s
+}
+
+// limitOf returns what operators allow an account in their window.
+func limitOf(a bbtcatalog.Account) (limit, tolerated float64) {
+	b := bounds()
+	limit = a.Rate*b.RateWindow.Seconds() + a.Burst
+	return limit, limit*(1+b.RateOver) + b.RateSlack
+}
+
+func TestAccountUsesItsLimit(t *testing.T) {
+	p := spender{cost: 50}
+	p.spend(newSpending(), 0, 20*time.Second)
+	limit, tolerated := limitOf(engines(1).Accounts[0])
+	if got := p.most(); got < limit || got > tolerated {
+		t.Errorf("got %v in a window, want %v to %v", got, limit, tolerated)
+	}
+}
+
+// All hosts are killed again and again; the next owner knows nothing of what was
+// used before.
+func TestLimitHoldsOverRestartsOfAllHosts(t *testing.T) {
+	_, tolerated := limitOf(engines(1).Accounts[0])
+	for _, every := range []time.Duration{time.Second, 2 * time.Second, 5 * time.Second} {
+		p := spender{cost: 50}
+		p.spend(newSpending(), 0, every)
+		for from := every; from < 16*time.Second; from += every {
+			p.spend(newSpending(WithUseBefore(start.Add(from))), from, from+every)
+		}
+		if got := p.most(); got > tolerated {
+			t.Errorf("killed every %v: got %v in a window, want at most %v", every, got, tolerated)
+		}
+	}
+}
+
+// The owner changes again and again; each new one is told what was used.
+func TestLimitHoldsOverChangesOfOwner(t *testing.T) {
+	p := spender{cost: 50}
+	p.spend(newSpending(), 0, time.Second)
+	for from := time.Second; from < 16*time.Second; from += time.Second {
+		now := start.Add(from)
+		m := NewMeter(bounds().RateWindow)
+		for _, at := range p.used {
+			m.Add(now, now.Sub(at), p.cost)
+		}
+		var used []Use
+		m.Each(now, func(ago time.Duration, n float64) {
+			used = append(used, Use{Account: "salons", Ago: ago, Amount: n})
+		})
+		next := newSpending()
+		next.TakeOver(now, "host", Takeover{Used: used})
+		p.spend(next, from, from+time.Second)
+	}
+	limit, tolerated := limitOf(engines(1).Accounts[0])
+	if got := p.most(); got > tolerated || got < limit {
+		t.Errorf("got %v in a window, want %v to %v", got, limit, tolerated)
+	}
+}
+
+func TestRequestThatHasNotRunIsNotCounted(t *testing.T) {
+	s := newSpending()
+	a := s.index.Account("salons")
+	before := s.left(start, s.meter(a), s.allowed(a))
+	r := Registration{ID: 1, Service: "plain", Account: "salons", Cost: 500, Left: time.Second, Objective: time.Second, Aim: time.Second}
+	if got := permits(s.Register(start, "host", r)); len(got) != 1 {
+		t.Fatalf("got %d permits, want 1", len(got))
+	}
+	s.Done(start, "host", Done{ID: 1, Outcome: Rejected})
+	if got := s.left(start, s.meter(a), s.allowed(a)); got != before {
+		t.Errorf("got %v left, want %v", got, before)
+	}
+}
+
+func TestRepeatsKeepTheBudget(t *testing.T) {
+	s := newSpending()
+	b := bounds()
+	for i := range 100 {
+		r := Registration{ID: RequestID(i), Service: "plain", Left: time.Second, Objective: time.Second, Aim: time.Second}
+		s.Register(start, "host", r)
+		s.Done(start, "host", Done{ID: r.ID, Outcome: Failed})
+	}
+	granted := 0
+	for i := range 200 {
+		r := Registration{ID: RequestID(1000 + i), Service: "plain", Attempt: 1, Repeat: true, Left: time.Second, Objective: time.Second, Aim: time.Second}
+		granted += len(permits(s.Register(start, "host", r)))
+		s.Done(start, "host", Done{ID: r.ID, Attempt: 1, Outcome: Finished})
+	}
+	if most := 100*b.RetryRatio + b.RetrySlack; float64(granted) > most || granted < 20 {
+		t.Errorf("got %d repeats, want at most %v and at least 20", granted, most)
+	}
+}
+
+func TestCrashingRequestIsRefusedAfterTwoEndpoints(t *testing.T) {
+	s := newFleet(1, 4)
+	runs := 0
+	for i := range 10 {
+		now := start.Add(time.Duration(i) * 5 * time.Second)
+		r := stream(i, 1)
+		r.Print = 99
+		for id := range permits(s.Register(now, "host", r)) {
+			runs++
+			s.Done(now, "host", Done{ID: id, Outcome: Broken})
+		}
+		l := listed("model", 1, 4)
+		l[0].Endpoint.Born = int64(i + 1) // it starts again under its name
+		s.SetCatalog(now.Add(3*time.Second), s.index, l)
+	}
+	if runs != mostCrashes {
+		t.Errorf("got %d runs, want %d", runs, mostCrashes)
+	}
+}
+
+func TestConnectionsResetByOneEndpointAreNoCrashes(t *testing.T) {
+	s := newFleet(1, 4)
+	runs := 0
+	for i := range 5 {
+		now := start.Add(time.Duration(i) * 5 * time.Second)
+		r := stream(i, 1)
+		r.Print = 99
+		for id := range permits(s.Register(now, "host", r)) {
+			runs++
+			s.Done(now, "host", Done{ID: id, Outcome: Broken})
+		}
+	}
+	if runs != 5 {
+		t.Errorf("got %d runs, want 5: the endpoint has not restarted", runs)
+	}
+}
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -218,7 +218,7 @@
 	case Rejected, Unreachable, Unused:
 		s.refund(now, &r.reg, now.Sub(r.granted))
 	case Broken:
-		s.suspects.crash(now, r.reg.Print, r.endpoint.record.ID)
+		s.suspects.crash(now, r.reg.Print, r.endpoint.incarnation())
 	}
 	return s.grant(now, r.endpoint.service)
 }
--- a/core/bbtschedule/suspects.go
+++ b/core/bbtschedule/suspects.go
@@ -10,7 +10,7 @@
 
 // suspect is a request with the endpoints that broke off while they ran it.
 type suspect struct {
-	endpoints map[string]bool
+	endpoints map[incarnation]bool
 	last      time.Time
 }
 
@@ -20,14 +20,14 @@
 func newSuspects() suspects { return suspects{byPrint: make(map[uint64]*suspect)} }
 
 // crash records that an endpoint broke off a request.
-func (t *suspects) crash(now time.Time, fp uint64, endpoint string) {
+func (t *suspects) crash(now time.Time, fp uint64, endpoint incarnation) {
 	if fp == 0 {
 		return
 	}
 	s := t.byPrint[fp]
 	if s == nil {
 		t.trim(now)
-		s = &suspect{endpoints: make(map[string]bool)}
+		s = &suspect{endpoints: make(map[incarnation]bool)}
 		t.byPrint[fp] = s
 	}
 	s.endpoints[endpoint] = true
