--- /dev/null
+++ b/core/bbtcatalog/example_test.go
@@ -0,0 +1,26 @@
+package bbtcatalog_test
+
+import (
+	"fmt"
+
+	"bluebelltray/core/bbtcatalog"
+)
+
+func ExampleIndex_Route() {
+	ix := bbtcatalog.NewIndex(&bbtcatalog.Config{Routes: []bbtcatalog.Route{
+		{Name: "letters", Domain: "salons.example", Prefix: "/letters/", Kind: bbtcatalog.Streaming, Resumable: true},
+	}})
+	r := ix.Route("salons.example", "/letters/17")
+	fmt.Println(r.Name, r.Repeatable())
+	// Output: letters true
+}
+
+func ExampleKeeper() {
+	var k bbtcatalog.Keeper
+	k.Apply(start, bbtcatalog.Update{Revision: 2, Changes: []bbtcatalog.Change{
+		{Revision: 1, Config: &bbtcatalog.Config{Version: 3}},
+		{Revision: 2, Endpoint: &bbtcatalog.Endpoint{ID: "tracking-1"}},
+	}})
+	fmt.Println(k.Index().Version(), k.Endpoints(start)[0].Endpoint.ID, len(k.Since(1).Changes))
+	// Output: 3 tracking-1 1
+}
--- a/core/bbtmember/member_test.go
+++ b/core/bbtmember/member_test.go
@@ -331,3 +331,66 @@
 		t.Errorf("got contact heard %v, acked %v, want both after the host left the list at %v", c.Heard(), c.Acked(), dropped)
 	}
 }
+
+func TestUnlistedHostIsMetAndPassedOn(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	list := func(ids ...bbtfleet.HostID) bbtfleet.HostList {
+		var hosts []bbtfleet.Host
+		for _, id := range ids {
+			hosts = append(hosts, bbtfleet.NewHost(id, "zone"))
+		}
+		return bbtfleet.NewHostList(1, hosts)
+	}
+	seed := bbtmember.New("seed", 5, rand.New(rand.NewPCG(1, 1)))
+	seed.SetHosts(now, list("seed", "old"))
+	var met []bbtmember.Met
+	for _, a := range seed.Receive(now, "new", bbtmember.Ping{Seq: 1, Incarnation: 9}, bbtview.Digest{}) {
+		if m, ok := a.(bbtmember.Met); ok {
+			met = append(met, m)
+		}
+	}
+	if len(met) != 1 || met[0].Change.Host != "new" || met[0].Change.Incarnation != 9 || !met[0].Direct {
+		t.Fatalf("got %+v, want new met", met)
+	}
+	seed.SetHosts(now, list("seed", "old", "new"))
+	told := false
+	for _, a := range append(seed.Introduce(now, met[0].Change), seed.Tick(now, bbtview.Digest{})...) {
+		s, ok := a.(bbtmember.Send)
+		if !ok {
+			continue
+		}
+		if p, ok := s.Message.(bbtmember.Ping); ok && s.To == "old" {
+			for _, c := range p.Changes {
+				told = told || c.Host == "new" && c.Incarnation == 9
+			}
+		}
+	}
+	if !told {
+		t.Error("got no ping that tells old of new")
+	}
+	if got := seed.Incarnation("new"); got != 9 {
+		t.Errorf("got incarnation %d, want 9", got)
+	}
+	if got := seed.Roster(); len(got) != 2 {
+		t.Errorf("got roster %+v, want seed and new", got)
+	}
+}
+
+func TestHostThatLeftTheListIsMetAgainInANewProcessAlone(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := bbtmember.New("a", 5, rand.New(rand.NewPCG(1, 1)))
+	both := bbtfleet.NewHostList(1, []bbtfleet.Host{bbtfleet.NewHost("a", "z"), bbtfleet.NewHost("b", "z")})
+	m.SetHosts(now, both)
+	m.Receive(now, "b", bbtmember.Ping{Seq: 1, Incarnation: 7}, bbtview.Digest{})
+	m.SetHosts(now, bbtfleet.NewHostList(2, both.Hosts()[:1]))
+	for incarnation, want := range map[uint64]bool{7: false, 8: true} {
+		got := false
+		for _, a := range m.Learn(now, []bbtmember.Change{{Host: "b", Incarnation: incarnation}}) {
+			_, isMet := a.(bbtmember.Met)
+			got = got || isMet
+		}
+		if got != want {
+			t.Errorf("incarnation %d: got met %t, want %t", incarnation, got, want)
+		}
+	}
+}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -201,6 +201,7 @@
 		e.memberAt = now
 		e.doMember(now, e.member.Tick(now, e.digest(now)))
 		e.follow(now)
+		e.locate()
 		e.setShare(now)
 		e.reader.set(e.reads(now), len(e.hosts) >= smallFleet)
 	}
--- /dev/null
+++ b/io/bbtedge/fleet_test.go
@@ -0,0 +1,322 @@
+package bbtedge
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cockroachdb/errors"
+)
+
+// network joins edges of one test. Messages arrive at once and are encoded on
+// the way.
+type network struct {
+	mu    sync.Mutex
+	codec *bbtpeer.Codec
+	nodes map[bbtfleet.HostID]*node
+	cut   map[bbtfleet.HostID]bool // hosts that reach no other
+}
+
+// node is one edge's end of the network.
+type node struct {
+	network *network
+	id      bbtfleet.HostID
+	out     chan bbtpeer.Inbound
+}
+
+func newNetwork(t *testing.T) *network {
+	t.Helper()
+	codec, err := NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), cut: make(map[bbtfleet.HostID]bool)}
+}
+
+func (n *node) SetHosts([]bbtfleet.Host)      {}
+func (n *node) Reset(bbtfleet.HostID)         {}
+func (n *node) Inbox() <-chan bbtpeer.Inbound { return n.out }
+func (n *node) Lost() <-chan bbtfleet.HostID  { return nil }
+
+// Close takes the edge off the network.
+func (n *node) Close() error {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if n.network.nodes[n.id] == n {
+		delete(n.network.nodes, n.id)
+	}
+	return nil
+}
+
+// Send delivers a message unless either end is cut off.
+func (n *node) Send(to bbtfleet.HostID, msg any) bool {
+	data, err := n.network.codec.Encode(msg)
+	if err != nil {
+		return false
+	}
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	target := n.network.nodes[to]
+	if target == nil || n.network.cut[n.id] || n.network.cut[to] {
+		return true
+	}
+	back, err := n.network.codec.Decode(data)
+	if err != nil {
+		return false
+	}
+	select {
+	case target.out <- bbtpeer.NewInbound(n.id, back):
+		return true
+	default:
+		return false
+	}
+}
+
+// setCut cuts a host off, or joins it again.
+func (w *network) setCut(id bbtfleet.HostID, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[id] = cut
+}
+
+// store is a source that may be down, and whose content may change.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	update  bbtcatalog.Update
+	changed chan struct{}
+}
+
+func newStore(version int64) *store {
+	s := &store{changed: make(chan struct{})}
+	s.publish(version)
+	return s
+}
+
+// publish puts another version of the configuration in force.
+func (s *store) publish(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cfg := &bbtcatalog.Config{Version: version, Services: []bbtcatalog.Service{{Name: "plain"}}}
+	rev := s.update.Revision + 1
+	s.update = bbtcatalog.Update{Revision: rev, Whole: true, Changes: []bbtcatalog.Change{
+		{Revision: rev, Config: cfg},
+		{Revision: 1, Endpoint: &bbtcatalog.Endpoint{ID: "i-0", Service: "plain", Address: "10.1.0.1:80", Slots: 16}},
+	}}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) Load(context.Context) (bbtcatalog.Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return bbtcatalog.Update{}, errors.New("store is down")
+	}
+	return s.update, nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error) {
+	s.mu.Lock()
+	u, changed, down := s.update, s.changed, s.down
+	s.mu.Unlock()
+	if down {
+		return bbtcatalog.Update{}, errors.New("store is down")
+	}
+	if u.Revision > after {
+		u.Whole = false
+		return u, nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		return s.Watch(ctx, after, wait)
+	case <-timer.C:
+		return bbtcatalog.Update{Revision: u.Revision}, nil
+	case <-ctx.Done():
+		return bbtcatalog.Update{}, ctx.Err()
+	}
+}
+
+// join starts an edge that knows the seeds.
+func (w *network) join(id bbtfleet.HostID, s *store, seeds ...bbtfleet.HostID) *Edge {
+	n := &node{network: w, id: id, out: make(chan bbtpeer.Inbound, 1024)}
+	w.mu.Lock()
+	w.nodes[id] = n
+	w.mu.Unlock()
+	settings := Settings{
+		Host: id, Callers: string(id) + ":1", CallerPort: "1", PeerPort: 2, Seeds: seeds, First: true,
+		Bounds: bbtcatalog.Bounds{RateWindow: 8 * time.Second, RateOver: 0.25, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50, Lifetime: 5 * time.Second},
+	}
+	e := New(settings, s, n, WithCounters(bbtmetric.New()))
+	time.Sleep(10 * time.Millisecond) // virtual; edges do not start at the same moment
+	return e
+}
+
+// closeAll ends edges.
+func closeAll(edges ...*Edge) {
+	for _, e := range edges {
+		e.Close()
+	}
+}
+
+// submission returns a plain request.
+func submission(now time.Time) bbtentry.Submission {
+	return bbtentry.Submission{
+		Registration: bbtschedule.Registration{Service: "plain", Aim: time.Second},
+		Attempts:     2, Deadline: now.Add(5 * time.Second), Due: now.Add(time.Second),
+	}
+}
+
+// permitted submits a request and returns how long its permit took.
+func permitted(t *testing.T, e *Edge) time.Duration {
+	t.Helper()
+	began := time.Now()
+	f := e.Submit(submission(began))
+	if _, err := f.Next(t.Context()); err != nil {
+		t.Fatalf("%s: got %v, want a permit", e.settings.Host, err)
+	}
+	f.Ended(bbtschedule.Done{Outcome: bbtschedule.Finished}, false)
+	return time.Since(began)
+}
+
+func TestHostsMeetThroughASeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		edges := []*Edge{w.join("a", s), w.join("b", s, "a"), w.join("c", s, "a"), w.join("d", s, "a")}
+		defer closeAll(edges...)
+		time.Sleep(3 * time.Second)
+		for _, e := range edges {
+			list, life := e.Addresses()
+			slices.Sort(list)
+			if !slices.Equal(list, []string{"a:1", "b:1", "c:1", "d:1"}) || life <= 0 {
+				t.Errorf("%s: got addresses %v for %v, want all four", e.settings.Host, list, life)
+			}
+			if got := permitted(t, e); got > 100*time.Millisecond {
+				t.Errorf("%s: got a permit after %v", e.settings.Host, got)
+			}
+		}
+		if got := edges[3].counters.Get("owner-changes"); got == 0 {
+			t.Error("got no change of owner at a host that joined, want it to follow the oldest")
+		}
+	})
+}
+
+func TestHostThatThePlatformTurnsAwayLearnsFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, good, bad := newNetwork(t), newStore(1), newStore(1)
+		bad.down = true
+		a, b := w.join("a", good), w.join("b", bad, "a")
+		defer closeAll(a, b)
+		time.Sleep(3 * time.Second)
+		if got := b.Index().Version(); got != 1 || !b.Ready() {
+			t.Fatalf("got version %d, ready %t; want 1 and ready", got, b.Ready())
+		}
+		good.publish(5)
+		time.Sleep(1500 * time.Millisecond)
+		if got := b.Index().Version(); got != 5 {
+			t.Errorf("got version %d 1.5 s after it was published, want 5", got)
+		}
+	})
+}
+
+func TestHostIsNotReadyWithoutAConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		s.down = true
+		a := w.join("a", s)
+		defer closeAll(a)
+		time.Sleep(5 * time.Second)
+		if a.Ready() {
+			t.Error("got ready without a configuration")
+		}
+		s.mu.Lock()
+		s.down = false
+		s.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		if !a.Ready() {
+			t.Error("got not ready 2 s after the platform came back")
+		}
+	})
+}
+
+func TestRequestsOutliveTheirOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		a, b, c := w.join("a", s), w.join("b", s, "a"), w.join("c", s, "a")
+		defer closeAll(a, b, c)
+		time.Sleep(3 * time.Second)
+		w.setCut("a", true)
+		for _, e := range []*Edge{b, c} {
+			if got := permitted(t, e); got > time.Second {
+				t.Errorf("%s: got a permit %v after its owner fell silent, want one within 1s", e.settings.Host, got)
+			}
+		}
+		if got := permitted(t, a); got > 100*time.Millisecond {
+			t.Errorf("got a permit after %v at the host that is cut off", got)
+		}
+		time.Sleep(6 * time.Second)
+		if list, _ := b.Addresses(); slices.Contains(list, "a:1") {
+			t.Errorf("got addresses %v 6 s after a fell silent", list)
+		}
+		w.setCut("a", false)
+		time.Sleep(15 * time.Second)
+		if list, _ := b.Addresses(); !slices.Contains(list, "a:1") {
+			t.Errorf("got addresses %v 15 s after a came back", list)
+		}
+	})
+}
+
+func TestHostAloneUsesAPartOfTheLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		edges := []*Edge{w.join("a", s), w.join("b", s, "a"), w.join("c", s, "a"), w.join("d", s, "a")}
+		time.Sleep(3 * time.Second)
+		w.setCut("d", true)
+		time.Sleep(5 * time.Second)
+		closeAll(edges...)
+		if got := edges[3].scheduler.Share(); got > 0.25 {
+			t.Errorf("got share %v of the host that is cut off, want at most 1/4", got)
+		}
+		if got := edges[0].scheduler.Share(); got < 0.85 {
+			t.Errorf("got share %v of the others' owner, want 3/4 and half of the tolerance", got)
+		}
+	})
+}
+
+func TestLeavingHostIsNamedToNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		a, b := w.join("a", s), w.join("b", s, "a")
+		defer closeAll(a, b)
+		time.Sleep(3 * time.Second)
+		for _, e := range []*Edge{a, b} {
+			if list, _ := e.Addresses(); len(list) != 2 {
+				t.Errorf("%s: got addresses %v before, want both", e.settings.Host, list)
+			}
+		}
+		a.Leave()
+		time.Sleep(time.Second)
+		for _, e := range []*Edge{a, b} {
+			if list, _ := e.Addresses(); !slices.Equal(list, []string{"b:1"}) {
+				t.Errorf("%s: got addresses %v, want b alone", e.settings.Host, list)
+			}
+		}
+		if a.Ready() {
+			t.Error("got the leaving host ready")
+		}
+		if got := permitted(t, a); got > time.Second {
+			t.Errorf("got a permit after %v at the leaving host", got)
+		}
+	})
+}
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -87,8 +87,8 @@
 		}
 		x.giveUp(ctx, bbtverdict.ReasonAnswerForeign, errors.New("answer of another request"))
 		return false
-	case resp.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() && !x.repeated():
-		return a.done(bbtschedule.Failed, true)
+	case resp.StatusCode >= http.StatusInternalServerError && x.route.Repeatable() && !x.repeated() && resp.ContentLength <= wholeAnswer:
+		return a.failure(ctx, resp)
 	case x.route.Kind == bbtcatalog.Streaming && resp.StatusCode == http.StatusOK:
 		return a.stream(ctx, resp)
 	case resp.ContentLength > wholeAnswer:
@@ -98,6 +98,24 @@
 	}
 }
 
+// failure ends a dispatch whose endpoint answered with a failure. That is the
+// answer if the request gets no other dispatch.
+func (a *answer) failure(ctx context.Context, resp *http.Response) bool {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeAnswer))
+	if err != nil {
+		return a.cut(ctx, err)
+	}
+	a.exchange.failed = &failure{status: resp.StatusCode, header: resp.Header, body: body}
+	return a.done(bbtschedule.Failed, true)
+}
+
+// failure is an endpoint's own answer that says that it failed.
+type failure struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
 // repeated reports whether the request has used its attempts, so that the
 // endpoint's own failure is the answer.
 func (x *exchange) repeated() bool { return len(x.story)+1 >= x.route.Attempts }
@@ -126,7 +144,7 @@
 	} else {
 		a.done(bbtschedule.Failed, false)
 	}
-	x.writeHead(resp)
+	x.writeHead(resp.StatusCode, resp.Header)
 	_, _ = x.w.Write(body) // a caller that has gone needs no answer
 	return false
 }
@@ -147,7 +165,7 @@
 // copy passes a long answer on as it comes.
 func (a *answer) copy(ctx context.Context, resp *http.Response) bool {
 	x := a.exchange
-	x.writeHead(resp)
+	x.writeHead(resp.StatusCode, resp.Header)
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
 		a.broken(ctx)
 	}
@@ -168,10 +186,10 @@
 }
 
 // writeHead sends the head of an answer to the caller.
-func (x *exchange) writeHead(resp *http.Response) {
+func (x *exchange) writeHead(status int, header http.Header) {
 	h := x.w.Header()
 	closing := h.Get("Connection")
-	for name, values := range resp.Header {
+	for name, values := range header {
 		h[name] = values
 	}
 	dropHopHeaders(h)
@@ -179,9 +197,9 @@
 		h.Set("Connection", closing)
 	}
 	x.answered = true
-	x.status = resp.StatusCode
+	x.status = status
 	x.first = time.Now()
-	x.w.WriteHeader(resp.StatusCode)
+	x.w.WriteHeader(status)
 }
 
 // isConnectError reports whether no connection came about, so that nothing was
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -84,6 +84,7 @@
 	service  string
 
 	flight   *bbtedge.Flight
+	failed   *failure // an endpoint's own failure, until another one answers
 	ran      bool     // an endpoint may have run the request
 	answered bool     // the head of an answer has been sent to the caller
 	events   int      // passed on
--- /dev/null
+++ b/io/bbtgateway/gateway_test.go
@@ -0,0 +1,170 @@
+package bbtgateway_test
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestAnswerComesBackUnchanged(t *testing.T) {
+	w := newWorld(t, 1, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("X-Response-Seal", "seal")
+		rw.Header().Set("X-Own", "kept")
+		rw.WriteHeader(http.StatusCreated)
+		_, _ = io.WriteString(rw, "body")
+	})
+	resp, body, err := w.send(http.MethodPost, "/once//a/%2Fb?x=1&y=/../z", "sent", "X-Tenant", "forged", "X-Hold", "1")
+	if err != nil || resp.StatusCode != http.StatusCreated || body != "body" || resp.Header.Get("X-Own") != "kept" || resp.Header.Get("X-Response-Seal") != "seal" {
+		t.Fatalf("got %v %q, %v", resp, body, err)
+	}
+	r := w.requests[0]
+	if r.RequestURI != "/once//a/%2Fb?x=1&y=/../z" || r.Host != "h.example" || w.bodies[0] != "sent" || r.Method != http.MethodPost {
+		t.Errorf("got %s %s at %s with %q", r.Method, r.RequestURI, r.Host, w.bodies[0])
+	}
+	for name, want := range map[string]string{"X-Tenant": "salons", "X-Expect-Instance": "i-0", "X-Request-Id": "id-1", "Api-Key": "", "X-Hold": "", "User-Agent": "Go-http-client/1.1"} {
+		if got := r.Header.Get(name); got != want {
+			t.Errorf("%s: got %q, want %q", name, got, want)
+		}
+	}
+}
+
+func TestChunkedBodyIsPassedOnWhole(t *testing.T) {
+	w := newWorld(t, 1, sealed(200, "ok"))
+	req, err := http.NewRequest(http.MethodPost, w.front.URL+"/once/", io.MultiReader(strings.NewReader("one"), strings.NewReader(strings.Repeat("x", 50_000))))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Api-Key", "key")
+	resp, err := w.front.Client().Do(req)
+	if err != nil || resp.StatusCode != 200 {
+		t.Fatalf("got %v, %v", resp, err)
+	}
+	resp.Body.Close()
+	if want := "one" + strings.Repeat("x", 50_000); w.bodies[0] != want {
+		t.Errorf("got %d bytes, want %d", len(w.bodies[0]), len(want))
+	}
+}
+
+func TestRequestsThatAreNotAllowedReachNoEndpoint(t *testing.T) {
+	w := newWorld(t, 1, sealed(200, "ok"))
+	for name, c := range map[string]struct {
+		target, body string
+		headers      []string
+		want         int
+	}{
+		"unknown path":  {"/none/", "", nil, 404},
+		"no prefix":     {"/once", "", nil, 404},
+		"unknown key":   {"/once/", "", []string{"Api-Key", "of others"}, 401},
+		"large body":    {"/once/", strings.Repeat("x", 100_001), nil, 413},
+		"large headers": {"/once/", "", []string{"X-Large", strings.Repeat("x", 5000)}, 431},
+		"bad deadline":  {"/once/", "", []string{"X-Deadline-Ms", "soon"}, 400},
+	} {
+		resp, _, err := w.send(http.MethodPost, c.target, c.body, c.headers...)
+		if err != nil || resp.StatusCode != c.want {
+			t.Errorf("%s: got %v, %v, want %d", name, resp, err, c.want)
+		}
+	}
+	if got := w.reached(); got != 0 {
+		t.Errorf("got %d requests at endpoints, want none", got)
+	}
+	if resp, _, err := w.send(http.MethodGet, "/open/", "", "Api-Key", "of others"); err != nil || resp.StatusCode != 200 {
+		t.Errorf("public route: got %v, %v, want 200", resp, err)
+	}
+}
+
+func TestRequestThatWasNotRunGoesElsewhere(t *testing.T) {
+	w := newWorld(t, 2, notRun, sealed(200, "ok"))
+	resp, body, err := w.send(http.MethodPost, "/once/", "")
+	if err != nil || resp.StatusCode != 200 || body != "ok" {
+		t.Fatalf("got %v %q, %v", resp, body, err)
+	}
+	if a, b := w.requests[0].Header.Get("X-Expect-Instance"), w.requests[1].Header.Get("X-Expect-Instance"); a == b {
+		t.Errorf("got %s twice, want two endpoints", a)
+	}
+}
+
+func TestRequestThatNobodyRunsIsRefusedAsNotRun(t *testing.T) {
+	w := newWorld(t, 3, notRun)
+	resp, _, err := w.send(http.MethodPost, "/once/", "")
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("X-Response-Seal") != "" {
+		t.Errorf("got %v, %v, want 503 that says when to come again", resp, err)
+	}
+	if got := w.reached(); got != 2 {
+		t.Errorf("got %d endpoints tried, want 2 attempts", got)
+	}
+}
+
+func TestCallThatMayHaveRunIsNotRepeated(t *testing.T) {
+	for name, s := range map[string]http.HandlerFunc{
+		"reset":     broken(""),
+		"no answer": broken("nonsense\r\n\r\n"),
+		"cut":       broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
+	} {
+		w := newWorld(t, 2, s, sealed(200, "ok"))
+		resp, body, err := w.send(http.MethodPost, "/once/", "")
+		if err != nil || resp.StatusCode != 502 || body != "" {
+			t.Errorf("%s: got %v %q, %v, want 502", name, resp, body, err)
+		}
+		if got := w.reached(); got != 1 {
+			t.Errorf("%s: got %d runs, want 1", name, got)
+		}
+	}
+}
+
+func TestCallThatMayRunAgainIsRepeated(t *testing.T) {
+	for name, s := range map[string]http.HandlerFunc{
+		"reset":         broken(""),
+		"no answer":     broken("nonsense\r\n\r\n"),
+		"cut":           broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
+		"failure":       sealed(500, "failed"),
+		"no seal":       func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "forged") },
+		"of another":    broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"),
+		"encoded":       broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"),
+		"reset in body": broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"),
+	} {
+		w := newWorld(t, 2, s, sealed(200, "ok"))
+		resp, body, err := w.send(http.MethodGet, "/again/", "")
+		if err != nil || resp.StatusCode != 200 || body != "ok" {
+			t.Errorf("%s: got %v %q, %v, want the second endpoint's answer", name, resp, body, err)
+		}
+	}
+}
+
+func TestEndpointsOwnFailureIsTheAnswerInTheEnd(t *testing.T) {
+	w := newWorld(t, 2, sealed(500, "failed"))
+	resp, body, err := w.send(http.MethodGet, "/again/", "")
+	if err != nil || resp.StatusCode != 500 || body != "failed" || resp.Header.Get("X-Response-Seal") != "seal" {
+		t.Errorf("got %v %q, %v, want the endpoint's own 500", resp, body, err)
+	}
+	if got := w.reached(); got != 2 {
+		t.Errorf("got %d runs, want 2", got)
+	}
+}
+
+func TestEndpointsOwnFailureIsTheAnswerIfNobodyElseIsLeft(t *testing.T) {
+	w := newWorld(t, 1, sealed(500, "failed"))
+	resp, body, err := w.send(http.MethodGet, "/again/", "", "X-Deadline-Ms", "300")
+	if err != nil || resp.StatusCode != 500 || body != "failed" {
+		t.Errorf("got %v %q, %v, want the endpoint's own 500", resp, body, err)
+	}
+}
+
+func TestAnswerWithoutALengthIsWholeAtItsEnd(t *testing.T) {
+	w := newWorld(t, 1, broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: id-1\r\n\r\nall of it"))
+	resp, body, err := w.send(http.MethodPost, "/once/", "")
+	if err != nil || resp.StatusCode != 200 || body != "all of it" {
+		t.Errorf("got %v %q, %v", resp, body, err)
+	}
+}
+
+func TestBytesBehindAnAnswerGoToNobody(t *testing.T) {
+	extra := "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: id-1\r\nContent-Length: 2\r\n\r\nok"
+	w := newWorld(t, 1, broken(extra+extra), sealed(200, "second"))
+	for _, want := range []string{"ok", "second"} {
+		if _, body, err := w.send(http.MethodPost, "/once/", ""); err != nil || body != want {
+			t.Errorf("got %q, %v, want %q", body, err, want)
+		}
+	}
+}
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -56,6 +56,12 @@
 		x.reason = string(bbtverdict.ReasonCancelled)
 		panic(http.ErrAbortHandler)
 	}
+	if f := x.failed; f != nil && !x.answered {
+		x.reason = string(e.Reason())
+		x.writeHead(f.status, f.header)
+		_, _ = x.w.Write(f.body) // a caller that has gone needs no answer
+		return
+	}
 	x.refuse(e)
 }
 
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -88,7 +88,7 @@
 // started sends the head of the answer unless that has happened.
 func (x *exchange) started(resp *http.Response) {
 	if !x.answered {
-		x.writeHead(resp)
+		x.writeHead(resp.StatusCode, resp.Header)
 	}
 }
 
--- /dev/null
+++ b/io/bbtgateway/stream_test.go
@@ -0,0 +1,105 @@
+package bbtgateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+)
+
+func TestStreamGoesOnAtAnotherEndpoint(t *testing.T) {
+	w := newWorld(t, 2, events("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), sealed(200, "id: 3\ndata: c\n\nid: 4\ndata: d\n\n"))
+	resp, body, err := w.send(http.MethodPost, "/resume/", "")
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"; err != nil || resp.StatusCode != 200 || body != want {
+		t.Errorf("got %v %q, %v, want each event once", resp, body, err)
+	}
+	if got := w.requests[1].Header.Get("Last-Event-Id"); got != "2" {
+		t.Errorf("got Last-Event-Id %q, want 2", got)
+	}
+}
+
+func TestStreamThatMayNotBeResumedIsCut(t *testing.T) {
+	w := newWorld(t, 2, events("id: 1\ndata: a\n\n"), sealed(200, "id: 2\ndata: b\n\n"))
+	_, body, err := w.send(http.MethodPost, "/stream/", "")
+	if err == nil || body != "id: 1\ndata: a\n\n" {
+		t.Errorf("got %q, %v, want the first event and an answer that is not whole", body, err)
+	}
+	if got := w.reached(); got != 1 {
+		t.Errorf("got %d runs, want 1", got)
+	}
+}
+
+func TestResumedStreamThatIsRefusedIsCut(t *testing.T) {
+	w := newWorld(t, 2, events("id: 1\ndata: a\n\n"), sealed(500, "failed"))
+	_, body, err := w.send(http.MethodPost, "/resume/", "")
+	if err == nil || body != "id: 1\ndata: a\n\n" {
+		t.Errorf("got %q, %v, want the first event and an answer that is not whole", body, err)
+	}
+}
+
+func TestStreamOfTheCallersOwnResume(t *testing.T) {
+	w := newWorld(t, 1, sealed(200, "id: 13\ndata: m\n\n"))
+	if _, body, err := w.send(http.MethodPost, "/resume/", "", "Last-Event-Id", "12"); err != nil || body != "id: 13\ndata: m\n\n" {
+		t.Errorf("got %q, %v", body, err)
+	}
+	if got := w.requests[0].Header.Get("Last-Event-Id"); got != "12" {
+		t.Errorf("got Last-Event-Id %q, want 12", got)
+	}
+}
+
+func TestEventsArePassedOnAsTheyCome(t *testing.T) {
+	next := make(chan struct{})
+	w := newWorld(t, 1, func(rw http.ResponseWriter, _ *http.Request) {
+		rw.Header().Set("X-Response-Seal", "seal")
+		_, _ = io.WriteString(rw, "id: 1\ndata: a\n\n")
+		_ = http.NewResponseController(rw).Flush()
+		<-next
+		_, _ = io.WriteString(rw, "id: 2\ndata: b\n\n")
+	})
+	req, err := http.NewRequest(http.MethodPost, w.front.URL+"/stream/", strings.NewReader(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("Api-Key", "key")
+	resp, err := w.front.Client().Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	first := make([]byte, len("id: 1\ndata: a\n\n"))
+	if _, err := io.ReadFull(resp.Body, first); err != nil {
+		t.Fatal(err)
+	}
+	close(next)
+	if rest, err := io.ReadAll(resp.Body); err != nil || string(rest) != "id: 2\ndata: b\n\n" {
+		t.Errorf("got %q, %v", rest, err)
+	}
+}
+
+func TestCallerThatLeavesEndsItsWork(t *testing.T) {
+	for _, path := range []string{"/once/", "/resume/"} {
+		began, ended := make(chan struct{}), make(chan struct{})
+		w := newWorld(t, 1, func(_ http.ResponseWriter, r *http.Request) {
+			close(began)
+			<-r.Context().Done()
+			close(ended)
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		req, err := http.NewRequestWithContext(ctx, http.MethodPost, w.front.URL+path, strings.NewReader("x"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		req.Host = "h.example"
+		req.Header.Set("Api-Key", "key")
+		go func() {
+			<-began
+			cancel()
+		}()
+		if resp, err := w.front.Client().Do(req); err == nil {
+			t.Errorf("%s: got %v, want the caller gone", path, resp)
+		}
+		<-ended // the test ends by its time limit if the work does not
+	}
+}
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -59,6 +59,9 @@
 	message any
 }
 
+// NewInbound returns a message from a host, for drivers that are no Node.
+func NewInbound(from bbtfleet.HostID, msg any) Inbound { return Inbound{from: from, message: msg} }
+
 // From returns the host that proved to be the sender.
 func (i Inbound) From() bbtfleet.HostID { return i.from }
 
