--- a/core/bbtcatalog/keeper.go
+++ b/core/bbtcatalog/keeper.go
@@ -31,9 +31,15 @@
 	endpoints map[string]item
 	zones     map[string]item
 	outage    time.Time // end of the last outage of the platform that this host saw
+	drain     time.Duration
 	index     *Index
 }
 
+// NewKeeper returns a keeper that holds nothing. drain is the operators' bound
+// on the time for which an endpoint may still be used after its removal; zero
+// for none.
+func NewKeeper(drain time.Duration) *Keeper { return &Keeper{drain: drain} }
+
 // Revision returns the platform revision up to which all changes are known.
 func (k *Keeper) Revision() uint64 { return k.revision }
 
@@ -105,13 +111,26 @@
 	if c.Gone && c.Endpoint != nil && ok && !old.change.Gone {
 		it.change.Endpoint = old.change.Endpoint
 		if back := k.outage.Add(ReturnTime); !k.outage.IsZero() && now.Before(back) && !old.change.Endpoint.Draining {
-			it.lapses = back
+			it.lapses = k.within(now, back)
 		}
 	}
 	items[id] = it
 	return true
 }
 
+// drainMargin is the time before the operators' bound at which a removed
+// endpoint gets its last request.
+const drainMargin = 500 * time.Millisecond
+
+// within returns the earlier of a time and the last one at which an endpoint
+// may be used that is removed now.
+func (k *Keeper) within(now, t time.Time) time.Time {
+	if last := now.Add(k.drain - drainMargin); k.drain > 0 && last.Before(t) {
+		return last
+	}
+	return t
+}
+
 // dropUnseen removes what a whole update of a revision doesn't hold.
 func (k *Keeper) dropUnseen(now time.Time, rev uint64, seen map[string]bool) bool {
 	changed := false
--- a/core/bbtcatalog/keeper_test.go
+++ b/core/bbtcatalog/keeper_test.go
@@ -79,6 +79,22 @@
 	}
 }
 
+// A server may also leave for good when the platform is just back.
+func TestEntryRemovedAfterAnOutageKeepsTheDrainBound(t *testing.T) {
+	const drain = 2 * time.Second
+	k := bbtcatalog.NewKeeper(drain)
+	k.Apply(start, update(endpoint(1, "a")))
+	k.Returned(start)
+	removed := start.Add(100 * time.Millisecond)
+	k.Apply(removed, update(gone(2, "a")))
+	if got := ids(k, removed.Add(drain-400*time.Millisecond)); got != "" {
+		t.Errorf("got endpoints %q shortly before the bound, want none", got)
+	}
+	if got := ids(k, removed.Add(time.Second)); got != "a" {
+		t.Errorf("got endpoints %q a second after its removal, want it to have time to return", got)
+	}
+}
+
 func TestRemovalOutsideAnOutageCountsAtOnce(t *testing.T) {
 	var k bbtcatalog.Keeper
 	k.Returned(start)
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -58,7 +58,7 @@
 	leaving   atomic.Bool
 	reader    *reader
 
-	keeper      bbtcatalog.Keeper
+	keeper      *bbtcatalog.Keeper
 	member      *bbtmember.Member
 	incarnation uint64
 	hosts       []bbtfleet.Host // without this one
@@ -100,6 +100,7 @@
 		events:      make(chan event, eventQueue),
 		ctx:         ctx,
 		cancel:      cancel,
+		keeper:      bbtcatalog.NewKeeper(s.Bounds.Drain),
 		member:      bbtmember.New(s.Host, bbtfleet.Incarnation(incarnation), rng),
 		incarnation: incarnation,
 		lastAlive:   make(map[bbtfleet.HostID]time.Time),
