--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -113,8 +113,7 @@
 	read, gap := e.pace()
 	stall = e.backlog(now) + read*float64(e.unreadOf(r))
 	first = stall + read*fixedTokens
-	events := float64(max(1, r.Output)) / float64(max(1, e.service.record.Stride))
-	return first, first + gap*events*e.service.use.or(assumedUse), stall
+	return first, first + gap*e.service.events(r), stall
 }
 
 // backlog returns how long the engine reads the prompts that it was sent, in ms.
@@ -219,7 +218,7 @@
 	gap := float64(d.Span) / float64(time.Millisecond) / float64(d.Events-1)
 	e.gap.learn(gap)
 	e.service.gap.learn(gap)
-	if r.reg.Output > 0 {
+	if r.reg.Output > 0 && r.reg.Hint == 0 {
 		e.service.use.learn(float64(d.Events*max(1, e.service.record.Stride)) / float64(r.reg.Output))
 	}
 }
--- a/core/bbtschedule/endpoint_test.go
+++ b/core/bbtschedule/endpoint_test.go
@@ -212,3 +212,35 @@
 		})
 	}
 }
+
+func TestEndpointInTheHostsZoneIsPreferred(t *testing.T) {
+	for zone, want := range map[string]string{"zone-0": "model-0", "zone-1": "model-1"} {
+		s := newFleet(2, 10)
+		r := stream(1, 1)
+		r.Zone = zone
+		if got := permits(s.Register(start, "host", r))[1].Endpoint; got != want {
+			t.Errorf("%s: got %q, want %q", zone, got, want)
+		}
+	}
+}
+
+// Pattern: a long answer on a slow engine. It would be cut at the caller's
+// deadline, with all its work in vain.
+func TestEngineThatCannotFinishIsNotChosen(t *testing.T) {
+	s := newFleet(2, 4)
+	s.byID["model-0"].gap.learn(120)
+	s.byID["model-1"].gap.learn(20)
+	for i := range 4 {
+		r := stream(i, 0)
+		r.Exclude = []string{"model-0"}
+		s.Register(start, "host", r)
+	}
+	long := stream(10, 0)
+	long.Output = 1800 // 300 events, 36 s at the slow engine
+	if got := permits(s.Register(start, "host", long)); len(got) != 0 {
+		t.Errorf("got %v, want it to wait for the fast engine", got)
+	}
+	if got := permits(s.Register(start, "host", stream(11, 0))); got[11].Endpoint != "model-0" {
+		t.Errorf("got %v, want a short answer at the slow engine", got)
+	}
+}
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -27,6 +27,8 @@
 	Print     uint64        `cbor:"15,keyasint,omitempty"` // fingerprint of the request
 	Waited    time.Duration `cbor:"16,keyasint,omitempty"` // since the host has read the request
 	Aim       time.Duration `cbor:"17,keyasint,omitempty"` // the whole latency objective
+	Hint      int           `cbor:"19,keyasint,omitempty"` // output tokens that the caller expects; 0 if it says nothing
+	Zone      string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that took it
 }
 
 // Part is a piece of a prompt that requests may share.
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -17,6 +17,8 @@
 	rateWindow  = time.Second
 	briefPart   = 0.3 // of the usual time in a slot, below which a request is brief
 	topRank     = -1
+	finishPart  = 0.9  // of the caller's time, in which an answer is to be whole by its forecast
+	acrossZones = 1.15 // factor on the time of a request at an endpoint in another availability zone
 )
 
 // service is the waiting requests and the endpoints of one service.
@@ -126,11 +128,19 @@
 	return max(1, could, float64(len(sv.grants))/rateWindow.Seconds())
 }
 
+// events returns how many events a request's answer is likely to have.
+func (sv *service) events(r *Registration) float64 {
+	tokens := float64(r.Output) * sv.use.or(assumedUse)
+	if r.Hint > 0 {
+		tokens = float64(min(r.Hint, max(r.Output, 1)))
+	}
+	return max(1, tokens/float64(max(1, sv.record.Stride)))
+}
+
 // brief reports whether a request holds its slot for a small part of the time
 // that requests usually do.
 func (sv *service) brief(r *Registration) bool {
-	events := float64(r.Output) * sv.use.or(assumedUse) / float64(max(1, sv.record.Stride))
-	return events*sv.gap.or(assumedGap) < briefPart*sv.hold.or(assumedHold)
+	return sv.events(r)*sv.gap.or(assumedGap) < briefPart*sv.hold.or(assumedHold)
 }
 
 // withRoom returns the endpoints that can take a request now.
@@ -152,15 +162,19 @@
 	var best *endpoint
 	var bestWhole float64
 	left := float64(w.due.Sub(now)) / float64(time.Millisecond)
+	ends := finishPart * float64(w.expires.Sub(now)) / float64(time.Millisecond)
 	patient := now.Sub(w.arrived) < w.reg.Aim/stallWaits
 	for _, e := range room {
 		if slices.Contains(w.reg.Exclude, e.record.ID) {
 			continue
 		}
 		first, whole, stall := e.forecast(now, &w.reg)
-		if !late && (first > left || patient && e.stalls(&w.reg, stall)) {
+		if whole > ends || !late && (first > left || patient && e.stalls(&w.reg, stall)) {
 			continue
 		}
+		if w.reg.Zone != e.record.Zone {
+			whole *= acrossZones
+		}
 		if best == nil || whole < bestWhole {
 			best, bestWhole = e, whole
 		}
--- a/dialect.go
+++ b/dialect.go
@@ -35,6 +35,7 @@
 	Tokens    bool // Prompt and Output are stated
 	Prompt    int  // tokens
 	Output    int  // tokens at most
+	Hint      int  // tokens of the answer that the caller expects; 0 if it says nothing
 	Parts     []bbtschedule.Part
 	LastEvent string // the answer is to begin behind it
 }
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -146,6 +146,9 @@
 // Ready reports whether the host takes requests.
 func (e *Edge) Ready() bool { return e.ready.Load() && !e.leaving.Load() }
 
+// Zone returns the host's availability zone.
+func (e *Edge) Zone() bbtfleet.ZoneID { return e.settings.Zone }
+
 // Leaving reports whether the host is about to stop.
 func (e *Edge) Leaving() bool { return e.leaving.Load() }
 
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -183,10 +183,12 @@
 		Tier:    x.route.Tier,
 		Prompt:  x.head.Prompt,
 		Output:  x.head.Output,
+		Hint:    x.head.Hint,
 		Parts:   x.head.Parts,
 		Pause:   x.route.Pause,
 		Aim:     objective,
 		Print:   x.print(),
+		Zone:    string(x.gateway.edge.Zone()),
 	}
 	if a := x.account; a != nil {
 		tokens := -1
