bbtschedule: a successor knows what runs, how fast endpoints are and what accounts used

An endpoint that appeared cold minutes ago was ramped again.

A permit tells the endpoint's speed, the answer to a probe tells which accounts have used what.

--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -160,6 +160,37 @@
 	e.held.add(r.reg.Parts)
 }
 
+// adopt counts a run that began under a former owner.
+func (e *endpoint) adopt(now time.Time, r *run) {
+	e.running[r.key] = r
+	e.held.add(r.reg.Parts)
+	if r.began {
+		return
+	}
+	if e.unread == 0 {
+		e.sentAt = now
+	}
+	e.unread++
+}
+
+// speed returns what is known of the endpoint's speed.
+func (e *endpoint) speed() Speed {
+	return Speed{Read: float32(e.read.or(0)), Gap: float32(e.gap.or(0)), Answer: float32(e.answer.or(0)), Proven: e.proven}
+}
+
+// learnt takes over what another owner has learnt.
+func (e *endpoint) learnt(v Speed) {
+	for _, l := range []struct {
+		e *estimate
+		v float32
+	}{{&e.read, v.Read}, {&e.gap, v.Gap}, {&e.answer, v.Answer}} {
+		if l.v > 0 {
+			l.e.value, l.e.known = float64(l.v), true
+		}
+	}
+	e.proven = max(e.proven, v.Proven)
+}
+
 // began learns from the first event of a run.
 func (e *endpoint) began(now time.Time, r *run) {
 	if r.began {
@@ -170,16 +201,16 @@
 	e.beganAt = now
 	e.proven++
 	e.failures = 0
-	took := float64(now.Sub(r.granted)) / float64(time.Millisecond)
-	if !e.service.record.Engine {
+	if e.unread == 0 && e.readyAt.After(now) {
+		e.readyAt = now
+	}
+	if !e.service.record.Engine || r.adopted {
 		return
 	}
+	took := float64(now.Sub(r.granted)) / float64(time.Millisecond)
 	sample := took / (r.ahead + fixedTokens)
 	e.read.learn(sample)
 	e.service.read.learn(sample)
-	if e.unread == 0 && e.readyAt.After(now) {
-		e.readyAt = now
-	}
 }
 
 // end takes a run out and learns from how it ended.
--- a/core/bbtschedule/limit_test.go
+++ b/core/bbtschedule/limit_test.go
@@ -107,16 +107,38 @@
 	}
 }
 
+// The owner changes to processes that have just begun, and each was told by the
+// one before: neither is more used than allowed nor less than the limit.
+func TestNewProcessGoesOnWhereTheOwnerWas(t *testing.T) {
+	p := spender{cost: 50}
+	s := newSpending()
+	p.spend(s, 0, time.Second)
+	for from := time.Second; from < 24*time.Second; from += time.Second {
+		now := start.Add(from)
+		next := newSpending(WithUseBefore(now))
+		next.Assume(now, s.Deficits(now))
+		p.spend(next, from, from+time.Second)
+		s = next
+	}
+	limit, tolerated := limitOf(engines(1).Accounts[0])
+	if got := p.most(); got > tolerated || got < limit {
+		t.Errorf("got %v in a window, want %v to %v", got, limit, tolerated)
+	}
+	if got, want := float64(len(p.used))*p.cost, 24*engines(1).Accounts[0].Rate; got < want {
+		t.Errorf("got %v used in 24 s, want the rate, %v", got, want)
+	}
+}
+
 func TestRequestThatHasNotRunIsNotCounted(t *testing.T) {
 	s := newSpending()
 	a := s.index.Account("salons")
-	before := s.left(start, s.meter(a), s.allowed(a))
+	before := s.left(start, a.Name, s.allowed(a))
 	r := Registration{ID: 1, Service: "plain", Account: "salons", Cost: 500, Left: time.Second, Objective: time.Second, Aim: time.Second}
 	if got := permits(s.Register(start, "host", r)); len(got) != 1 {
 		t.Fatalf("got %d permits, want 1", len(got))
 	}
 	s.Done(start, "host", Done{ID: 1, Outcome: Rejected})
-	if got := s.left(start, s.meter(a), s.allowed(a)); got != before {
+	if got := s.left(start, a.Name, s.allowed(a)); got != before {
 		t.Errorf("got %v left, want %v", got, before)
 	}
 }
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -48,6 +48,16 @@
 	Attempt  int       `cbor:"2,keyasint,omitempty"`
 	Endpoint string    `cbor:"3,keyasint"`
 	Address  string    `cbor:"4,keyasint"`
+	Speed    Speed     `cbor:"5,keyasint,omitzero"`
+}
+
+// Speed is what an owner has learnt of an endpoint. It travels with permits, so
+// that the next owner need not learn it anew.
+type Speed struct {
+	Read   float32 `cbor:"1,keyasint,omitempty"` // ms to read a prompt token; 0 if unknown
+	Gap    float32 `cbor:"2,keyasint,omitempty"` // ms between events; 0 if unknown
+	Answer float32 `cbor:"3,keyasint,omitempty"` // ms of a plain call; 0 if unknown
+	Proven int     `cbor:"4,keyasint,omitempty"` // first events since it was cold
 }
 
 // Refusal says that a registered request gets no permit.
@@ -119,8 +129,16 @@
 // Probe tells an owner that the sender follows it, and asks for a sign of life.
 type Probe struct{}
 
-// Here answers a Probe.
-type Here struct{}
+// Here answers a Probe. It tells what the next owner would have to know.
+type Here struct {
+	Deficits []Deficit `cbor:"1,keyasint,omitempty"`
+}
+
+// Deficit is what an account lacks of its burst.
+type Deficit struct {
+	Account string  `cbor:"1,keyasint"`
+	Lacks   float64 `cbor:"2,keyasint"` // units
+}
 
 // Message is any of the messages to an owner or to an entry host.
 type Message interface{ message() }
--- a/core/bbtschedule/rate.go
+++ b/core/bbtschedule/rate.go
@@ -1,6 +1,9 @@
 package bbtschedule
 
 import (
+	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtcatalog"
@@ -31,22 +34,77 @@
 	return allowance{rate: s.share * rate, burst: s.share * (most - rate*window)}
 }
 
-// left returns what an account may use now, from its use in the window. What
-// was used before this process began is unknown, so nothing is taken to be left
-// from then if others may have been serving.
-func (s *Scheduler) left(now time.Time, m *Meter, al allowance) float64 {
+// base is what is known of an account's use up to a time.
+type base struct {
+	at    time.Time // zero if nothing was used before
+	lacks float64   // of the burst, at that time
+}
+
+// baseOf returns what is known of an account's use before this owner counted.
+// If others may have been serving and none has told, nothing is taken to be
+// left when this process began.
+func (s *Scheduler) baseOf(account string) base {
+	switch {
+	case !s.toldAt.IsZero():
+		return base{at: s.toldAt, lacks: s.told[account]}
+	case s.assumeUsed:
+		return base{at: s.born, lacks: math.Inf(1)}
+	default:
+		return base{}
+	}
+}
+
+// left returns what an account may use now, from its use in the window.
+func (s *Scheduler) left(now time.Time, account string, al allowance) float64 {
+	known := s.baseOf(account)
 	level := al.burst
-	step := m.length().Seconds()
+	m := s.meter(account)
+	since := s.bounds.RateWindow
+	if !known.at.IsZero() {
+		since, level = now.Sub(known.at), max(0, al.burst-known.lacks)
+	}
 	m.Walk(now, func(ago time.Duration, n float64) {
-		level = min(al.burst, level+al.rate*step)
-		if s.assumeUsed && ago > now.Sub(s.born) {
-			level = 0
+		if ago > since {
+			return
 		}
-		level -= n
+		refill := al.rate * min(m.length(), since-ago).Seconds()
+		level = min(al.burst, level+refill) - n
 	})
 	return level
 }
 
+// mostDeficits bounds how many accounts' use an owner tells its followers.
+const mostDeficits = 256
+
+// Deficits returns which accounts have used a part of their bursts, those that
+// lack most first.
+func (s *Scheduler) Deficits(now time.Time) []Deficit {
+	var out []Deficit
+	for name := range s.meters {
+		a := s.index.Account(name)
+		if a == nil || a.Rate <= 0 {
+			continue
+		}
+		al := s.allowed(a)
+		if lacks := al.burst - s.left(now, name, al); lacks > 0 {
+			out = append(out, Deficit{Account: name, Lacks: lacks})
+		}
+	}
+	slices.SortFunc(out, func(a, b Deficit) int {
+		return cmp.Or(cmp.Compare(b.Lacks, a.Lacks), cmp.Compare(a.Account, b.Account))
+	})
+	return out[:min(len(out), mostDeficits)]
+}
+
+// Assume takes what a former owner told some time ago as what was used by then.
+func (s *Scheduler) Assume(at time.Time, deficits []Deficit) {
+	s.toldAt = at
+	s.told = make(map[string]float64, len(deficits))
+	for _, d := range deficits {
+		s.told[d.Account] = d.Lacks
+	}
+}
+
 // charge counts a request's cost against its account. It returns how long to
 // wait if the limit does not allow it.
 func (s *Scheduler) charge(now time.Time, r *Registration) (time.Duration, bool) {
@@ -54,27 +112,27 @@
 	if a == nil || a.Rate <= 0 {
 		return 0, true
 	}
-	m, al := s.meter(a), s.allowed(a)
-	if lacks := r.Cost - s.left(now, m, al); lacks > 0 {
+	al := s.allowed(a)
+	if lacks := r.Cost - s.left(now, a.Name, al); lacks > 0 {
 		return time.Duration(lacks / al.rate * float64(time.Second)), false
 	}
-	m.Add(now, 0, r.Cost)
+	s.meter(a.Name).Add(now, 0, r.Cost)
 	return 0, true
 }
 
 // refund takes the cost of a request back that has not run.
 func (s *Scheduler) refund(now time.Time, r *Registration, ago time.Duration) {
 	if a := s.index.Account(r.Account); a != nil && a.Rate > 0 && r.Attempt == 0 {
-		s.meter(a).Add(now, ago, -r.Cost)
+		s.meter(a.Name).Add(now, ago, -r.Cost)
 	}
 }
 
 // meter returns an account's meter.
-func (s *Scheduler) meter(a *bbtcatalog.Account) *Meter {
-	m := s.meters[a.Name]
+func (s *Scheduler) meter(account string) *Meter {
+	m := s.meters[account]
 	if m == nil {
 		m = NewMeter(s.bounds.RateWindow)
-		s.meters[a.Name] = m
+		s.meters[account] = m
 	}
 	return m
 }
@@ -83,7 +141,7 @@
 func (s *Scheduler) TakeUse(now time.Time, used []Use) {
 	for _, u := range used {
 		if a := s.index.Account(u.Account); a != nil && a.Rate > 0 {
-			s.meter(a).Add(now, u.Ago, u.Amount)
+			s.meter(a.Name).Add(now, u.Ago, u.Amount)
 		}
 	}
 }
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -25,6 +25,7 @@
 	granted  time.Time
 	ahead    float64 // prompt tokens that the engine reads until the first event
 	began    bool
+	adopted  bool // begun under a former owner, so its times teach nothing
 }
 
 // Action is a message to a host.
@@ -50,6 +51,8 @@
 
 	born       time.Time // when this process began
 	assumeUsed bool      // others may have used the limits before
+	toldAt     time.Time // when a former owner told what was used; zero if none has
+	told       map[string]float64
 }
 
 // Option sets an optional part of a Scheduler.
@@ -239,13 +242,9 @@
 		if e == nil || s.runs[k] != nil {
 			continue
 		}
-		r := &run{key: k, reg: it.Registration, endpoint: e, granted: now.Add(-it.For)}
+		r := &run{key: k, reg: it.Registration, endpoint: e, granted: now.Add(-it.For), began: it.Began, adopted: true}
 		s.runs[k] = r
-		e.grant(now, r, s.share)
-		if it.Began {
-			r.began = true
-			e.unread--
-		}
+		e.adopt(now, r)
 	}
 	s.TakeUse(now, t.Used)
 	for _, u := range t.Repeats {
@@ -253,6 +252,13 @@
 	}
 }
 
+// Learnt takes what a permit tells of an endpoint's speed.
+func (s *Scheduler) Learnt(endpoint string, v Speed) {
+	if e := s.byID[endpoint]; e != nil {
+		e.learnt(v)
+	}
+}
+
 // Forget drops what a dead host waits for and runs.
 func (s *Scheduler) Forget(now time.Time, host bbtfleet.HostID) []Action {
 	for _, sv := range s.services {
@@ -340,6 +346,6 @@
 	s.runs[w.key] = r
 	e.grant(now, r, s.share)
 	return Action{w.key.host, Permit{
-		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address,
+		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, Speed: e.speed(),
 	}}
 }
--- /dev/null
+++ b/core/bbtschedule/takeover_test.go
@@ -0,0 +1,60 @@
+package bbtschedule
+
+import (
+	"testing"
+	"time"
+)
+
+// Pattern: an owner stops while all engines are busy. Its successor is told what
+// runs; streams that have begun are no backlog of prompts, and their age teaches
+// nothing of the engines' speed.
+func TestSuccessorForecastsAsTheOwnerDid(t *testing.T) {
+	first, second := newFleet(2, 10), newFleet(2, 10)
+	var running []Running
+	for i := range 12 {
+		r := stream(i, 1)
+		r.Prompt = 6000
+		now := start.Add(time.Duration(i) * 100 * time.Millisecond)
+		for id, p := range permits(first.Register(now, "host", r)) {
+			second.Learnt(p.Endpoint, p.Speed)
+			first.Began(now.Add(80*time.Millisecond), "host", id)
+			running = append(running, Running{Registration: r, Endpoint: p.Endpoint, Began: i < 10, For: 2 * time.Second})
+		}
+	}
+	if len(running) != 12 {
+		t.Fatalf("got %d running, want 12", len(running))
+	}
+	now := start.Add(2 * time.Second)
+	second.TakeOver(now, "host", Takeover{Running: running})
+	for _, it := range running[10:] {
+		second.Began(now.Add(10*time.Millisecond), "host", it.Registration.ID)
+	}
+	for id, e := range second.byID {
+		want := first.byID[id]
+		if len(e.running) != len(want.running) {
+			t.Errorf("%s: got %d running, want %d", id, len(e.running), len(want.running))
+		}
+		if got := e.backlog(now); got != 0 {
+			t.Errorf("%s: got a backlog of %v ms, want none", id, got)
+		}
+		if got, w := e.read.or(0), want.read.or(0); got < w/2 || got > 2*w {
+			t.Errorf("%s: got %v ms a token, want about %v", id, got, w)
+		}
+	}
+}
+
+// Pattern: the successor saw a server appear long ago, cold. What the owner has
+// proven of it since counts.
+func TestSuccessorDoesNotRampAWarmEndpointAgain(t *testing.T) {
+	s := newFleet(0, 10)
+	addCold(s, start, "warm")
+	s.Learnt("warm", Speed{Read: 0.01, Gap: 20, Proven: 30})
+	now := start.Add(time.Minute)
+	granted := 0
+	for i := range 10 {
+		granted += len(permits(s.Register(now, "host", stream(i, 1))))
+	}
+	if granted != 10 {
+		t.Errorf("got %d requests at once, want all 10 slots", granted)
+	}
+}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -74,7 +74,9 @@
 	flights   map[bbtschedule.RequestID]*Flight
 	scheduler *bbtschedule.Scheduler
 	followers map[bbtfleet.HostID]time.Time
-	local     []any // messages to this host itself
+	toldAt    time.Time             // when the owner told what accounts have used
+	told      []bbtschedule.Deficit // of that
+	local     []any                 // messages to this host itself
 }
 
 // Option sets an optional part of an Edge.
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -111,6 +111,9 @@
 	}
 	e.log.Info("owner chosen", zap.String("peer", string(best)), zap.String("before", string(e.entry.Owner())))
 	e.counters.Add("owner-changes", 1)
+	if best == e.settings.Host && !e.toldAt.IsZero() {
+		e.scheduler.Assume(e.toldAt, e.told)
+	}
 	e.doEntry(now, e.entry.SetOwner(now, best))
 	e.deliverLocal(now)
 }
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -90,9 +90,15 @@
 		e.scheduler.TakeOver(now, from, m)
 	case bbtschedule.Probe:
 		e.followers[from] = now
-		e.tell(from, bbtschedule.Here{})
+		e.tell(from, bbtschedule.Here{Deficits: e.scheduler.Deficits(now)})
 	case bbtschedule.Here:
+		if from == e.entry.Owner() && from != e.settings.Host {
+			e.toldAt, e.told = now, m.Deficits
+		}
 	case bbtschedule.Permit:
+		if from != e.settings.Host {
+			e.scheduler.Learnt(m.Endpoint, m.Speed)
+		}
 		e.doEntry(now, e.entry.Permitted(now, from, m))
 	case bbtschedule.Refusal:
 		e.doEntry(now, e.entry.Refused(now, m))
