--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -70,13 +70,14 @@
 	catalogAt   time.Time
 	loadAt      time.Time
 
-	entry     *bbtentry.Entry
-	flights   map[bbtschedule.RequestID]*Flight
-	scheduler *bbtschedule.Scheduler
-	followers map[bbtfleet.HostID]time.Time
-	toldAt    time.Time             // when the owner told what accounts have used
-	told      []bbtschedule.Deficit // of that
-	local     []any                 // messages to this host itself
+	entry      *bbtentry.Entry
+	flights    map[bbtschedule.RequestID]*Flight
+	scheduler  *bbtschedule.Scheduler
+	followers  map[bbtfleet.HostID]time.Time
+	ownerSince time.Time             // when this host became the owner last
+	toldAt     time.Time             // when the owner told what accounts have used
+	told       []bbtschedule.Deficit // of that
+	local      []any                 // messages to this host itself
 }
 
 // Option sets an optional part of an Edge.
--- a/io/bbtedge/fleet_test.go
+++ b/io/bbtedge/fleet_test.go
@@ -294,6 +294,36 @@
 	})
 }
 
+func TestSuccessorServesFromTheStart(t *testing.T) {
+	for offset := time.Duration(0); offset < memberPeriod; offset += 40 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) { succeed(t, 3*time.Second+offset) })
+	}
+}
+
+// succeed lets the owner leave after a time and wants its successor to use an
+// endpoint's slots at once.
+func succeed(t *testing.T, after time.Duration) {
+	w, s := newNetwork(t), newStore(1)
+	edges := []*Edge{w.join("a", s), w.join("b", s, "a"), w.join("c", s, "a"), w.join("d", s, "a")}
+	defer closeAll(edges...)
+	time.Sleep(after)
+	edges[0].Leave()
+	time.Sleep(5 * time.Millisecond)
+	began := time.Now()
+	var flights []*Flight
+	for range 12 { // of the endpoint's 16 slots
+		flights = append(flights, edges[2].Submit(submission(began)))
+	}
+	for _, f := range flights {
+		if _, err := f.Next(t.Context()); err != nil {
+			t.Fatalf("got %v, want a permit", err)
+		}
+	}
+	if got := time.Since(began); got > 20*time.Millisecond {
+		t.Errorf("left after %v: got the permits of a new owner after %v, want at once", after, got)
+	}
+}
+
 func TestLeavingHostIsNamedToNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, s := newNetwork(t), newStore(1)
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -15,6 +15,9 @@
 	mayRunFor = 20 * time.Second
 	// followedFor is how long a host counts as a follower after its last sign.
 	followedFor = 1500 * time.Millisecond
+	// followGrace is the time that hosts have to follow a new owner; until then
+	// those that are up count as followers.
+	followGrace = 700 * time.Millisecond
 	// aloneShare is the part of all limits that a host uses that knows of no
 	// other host.
 	aloneShare = 0.125
@@ -111,8 +114,12 @@
 	}
 	e.log.Info("owner chosen", zap.String("peer", string(best)), zap.String("before", string(e.entry.Owner())))
 	e.counters.Add("owner-changes", 1)
-	if best == e.settings.Host && !e.toldAt.IsZero() {
-		e.scheduler.Assume(e.toldAt, e.told)
+	if best == e.settings.Host {
+		e.ownerSince = now
+		if !e.toldAt.IsZero() {
+			e.scheduler.Assume(e.toldAt, e.told)
+		}
+		e.setShare(now)
 	}
 	e.doEntry(now, e.entry.SetOwner(now, best))
 	e.deliverLocal(now)
@@ -128,7 +135,8 @@
 			continue
 		}
 		known++
-		if now.Sub(e.followers[h.ID()]) <= followedFor {
+		fresh := now.Sub(e.ownerSince) <= followGrace && e.up(h.ID())
+		if fresh || now.Sub(e.followers[h.ID()]) <= followedFor {
 			following++
 		}
 	}
