--- a/core/bbtschedule/rate.go
+++ b/core/bbtschedule/rate.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"slices"
 	"time"
 
@@ -12,7 +11,11 @@
 // tolerancePart is the part of the operators' tolerance of an account's limit
 // that is used, so that nothing below the limit is refused for want of exact
 // counts; the rest is for hosts that cannot be reached.
-const tolerancePart = 0.5
+const tolerancePart = 0.75
+
+// ratePart is the part of the tolerance that goes into the rate; the rest is
+// burst.
+const ratePart = 0.25
 
 // allowance is what an account may use: a rate with a burst.
 type allowance struct {
@@ -30,7 +33,7 @@
 		slack /= a.Plain
 	}
 	most := (a.Rate*window+a.Burst)*(1+tolerancePart*b.RateOver) + tolerancePart*slack
-	rate := a.Rate * (1 + tolerancePart*b.RateOver/2)
+	rate := a.Rate * (1 + ratePart*b.RateOver)
 	return allowance{rate: s.share * rate, burst: s.share * (most - rate*window)}
 }
 
@@ -43,25 +46,25 @@
 // baseOf returns what is known of an account's use before this owner counted.
 // If others may have been serving and none has told, nothing is taken to be
 // left when this process began.
-func (s *Scheduler) baseOf(account string) base {
+func (s *Scheduler) baseOf(a *bbtcatalog.Account) base {
 	switch {
 	case !s.toldAt.IsZero():
-		return base{at: s.toldAt, lacks: s.told[account]}
+		return base{at: s.toldAt, lacks: s.told[a.Name]}
 	case s.assumeUsed:
-		return base{at: s.born, lacks: math.Inf(1)}
+		return base{at: s.born, lacks: s.allowed(a).burst}
 	default:
 		return base{}
 	}
 }
 
 // left returns what an account may use now, from its use in the window.
-func (s *Scheduler) left(now time.Time, account string, al allowance) float64 {
-	known := s.baseOf(account)
+func (s *Scheduler) left(now time.Time, a *bbtcatalog.Account, al allowance) float64 {
+	known := s.baseOf(a)
 	level := al.burst
-	m := s.meter(account)
+	m := s.meter(a.Name)
 	since := s.bounds.RateWindow
 	if !known.at.IsZero() {
-		since, level = now.Sub(known.at), max(0, al.burst-known.lacks)
+		since, level = now.Sub(known.at), max(-al.burst, al.burst-known.lacks)
 	}
 	m.Walk(now, func(ago time.Duration, n float64) {
 		if ago > since {
@@ -86,7 +89,7 @@
 			continue
 		}
 		al := s.allowed(a)
-		if lacks := al.burst - s.left(now, name, al); lacks > 0 {
+		if lacks := al.burst - s.left(now, a, al); lacks > 0 {
 			out = append(out, Deficit{Account: name, Lacks: lacks})
 		}
 	}
@@ -106,15 +109,17 @@
 }
 
 // charge counts a request's cost against its account. It returns how long to
-// wait if the limit does not allow it.
+// wait if the limit does not allow it. A request is allowed while anything is
+// left, so that large ones have the chance of small ones; what it takes beyond
+// that is paid back by those after it.
 func (s *Scheduler) charge(now time.Time, r *Registration) (time.Duration, bool) {
 	a := s.index.Account(r.Account)
 	if a == nil || a.Rate <= 0 {
 		return 0, true
 	}
 	al := s.allowed(a)
-	if lacks := r.Cost - s.left(now, a.Name, al); lacks > 0 {
-		return time.Duration(lacks / al.rate * float64(time.Second)), false
+	if left := s.left(now, a, al); left <= 0 {
+		return time.Duration(-left/al.rate*float64(time.Second)) + s.meter(a.Name).length(), false
 	}
 	s.meter(a.Name).Add(now, 0, r.Cost)
 	return 0, true
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -39,8 +39,9 @@
 type Scheduler struct {
 	bounds   bbtcatalog.Bounds
 	index    *bbtcatalog.Index
-	share    float64
-	started  bool // a catalog was set before, so unknown runs are new
+	share    float64 // of the limits
+	slots    float64 // part of the endpoints' slots
+	started  bool    // a catalog was set before, so unknown runs are new
 	services map[string]*service
 	byID     map[string]*endpoint
 	runs     map[key]*run
@@ -70,6 +71,7 @@
 		bounds:   b,
 		index:    bbtcatalog.NewIndex(nil),
 		share:    1,
+		slots:    1,
 		services: make(map[string]*service),
 		byID:     make(map[string]*endpoint),
 		runs:     make(map[key]*run),
@@ -84,11 +86,13 @@
 	return s
 }
 
-// SetShare sets the part of all limits that this owner may use; it is below 1
-// while other hosts may have another owner.
-func (s *Scheduler) SetShare(share float64) { s.share = share }
+// SetShare sets the parts of all limits and of the endpoints' slots that this
+// owner may use; they are below 1 while other hosts may have another owner.
+// Slots used beyond their number cost a rejection, limits a broken contract, so
+// the part of the slots may be the larger one.
+func (s *Scheduler) SetShare(limits, slots float64) { s.share, s.slots = limits, slots }
 
-// Share returns what SetShare set.
+// Share returns the part of all limits that this owner may use.
 func (s *Scheduler) Share() float64 { return s.share }
 
 // SetCatalog sets the configuration and the endpoints in force.
@@ -313,7 +317,7 @@
 	if len(sv.waiting) == 0 {
 		return nil
 	}
-	room := sv.withRoom(now, s.share)
+	room := sv.withRoom(now, s.slots, s.share)
 	var out []Action
 	for _, late := range [...]bool{false, true} {
 		for i := 0; i < len(sv.waiting) && len(room) > 0; {
@@ -324,7 +328,7 @@
 				continue
 			}
 			out = append(out, s.permit(now, sv, w, e))
-			room = sv.withRoom(now, s.share)
+			room = sv.withRoom(now, s.slots, s.share)
 		}
 	}
 	return out
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -144,10 +144,10 @@
 }
 
 // withRoom returns the endpoints that can take a request now.
-func (sv *service) withRoom(now time.Time, share float64) []*endpoint {
+func (sv *service) withRoom(now time.Time, slots, share float64) []*endpoint {
 	var out []*endpoint
 	for _, e := range sv.endpoints {
-		if len(e.running) < e.slots(share) && e.open(now) && e.bears(now, share) {
+		if len(e.running) < e.slots(slots) && e.open(now) && e.bears(now, share) {
 			out = append(out, e)
 		}
 	}
--- a/core/bbtschedule/status.go
+++ b/core/bbtschedule/status.go
@@ -37,7 +37,7 @@
 		}
 		st := ServiceStatus{Name: name, Waiting: len(sv.waiting), PerSecond: sv.perSecond(now)}
 		for _, e := range sv.endpoints {
-			st.Endpoints = append(st.Endpoints, e.status(now, s.share))
+			st.Endpoints = append(st.Endpoints, e.status(now, s.slots))
 		}
 		out = append(out, st)
 	}
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -18,6 +18,9 @@
 	// followGrace is the time that hosts have to follow a new owner; until then
 	// those that are up count as followers.
 	followGrace = 700 * time.Millisecond
+	// limitsBeyond is the part of the operators' tolerance by which an owner's
+	// share of the limits is widened.
+	limitsBeyond = 0.2
 	// aloneShare is the part of all limits that a host uses that knows of no
 	// other host.
 	aloneShare = 0.125
@@ -126,7 +129,7 @@
 }
 
 // setShare sets the part of all limits that this host may use as an owner: that
-// of the hosts that follow it among all that may run, widened by half of what
+// of the hosts that follow it among all that may run, widened by a part of what
 // the operators' bounds allow beyond the limits.
 func (e *Edge) setShare(now time.Time) {
 	known, following := 1, 1
@@ -140,17 +143,16 @@
 			following++
 		}
 	}
-	share := aloneShare
-	if known > 1 {
-		share = min(1, float64(following)/float64(known)+e.settings.Bounds.RateOver/2)
-	}
-	if known > 1 && following == 1 {
-		share = 1 / float64(known)
+	share, slots := aloneShare, aloneShare
+	if part := float64(following) / float64(known); known > 1 && following > 1 {
+		share, slots = min(1, part+e.settings.Bounds.RateOver*limitsBeyond), min(1, part+e.settings.Bounds.RateOver)
+	} else if known > 1 {
+		share, slots = part, part
 	}
 	if share != e.scheduler.Share() && e.entry.Owner() == e.settings.Host {
 		e.log.Info("share of limits", zap.Float64("share", share), zap.Int("following", following), zap.Int("known", known))
 	}
-	e.scheduler.SetShare(share)
+	e.scheduler.SetShare(share, slots)
 }
 
 // locate makes anew the list of addresses that callers are given.
