--- a/core/bbtschedule/returns.go
+++ b/core/bbtschedule/returns.go
@@ -24,10 +24,10 @@
 // schedule returns after what time a refused caller is to come again. An
 // overload outlasts a caller's patience more often than not, so callers come
 // late in it, spread by their fingerprints.
-func (t *returns) schedule(now time.Time, w *waiter) time.Duration {
-	t.expect(now, w.reg.Print)
-	most := float64(w.expires.Sub(now)) / callerPatience
-	part := float64(w.reg.Print%spreadSteps) / spreadSteps
+func (t *returns) schedule(now time.Time, r Registration) time.Duration {
+	t.expect(now, r.Print)
+	most := float64(r.Left) / callerPatience
+	part := float64(r.Print%spreadSteps) / spreadSteps
 	return max(minReturn, time.Duration(most*(1-returnSpread*part)))
 }
 
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -173,7 +173,7 @@
 	again := s.returns.back(now, r.Print)
 	if r.Attempt == 0 {
 		if after, ok := s.charge(now, &r); !ok {
-			return refuse(bbtverdict.ReasonTokenRate, min(after, r.Left/callerPatience))
+			return refuse(bbtverdict.ReasonTokenRate, min(max(after, s.returns.schedule(now, r)), r.Left/callerPatience))
 		}
 	}
 	w := newWaiter(now, k, r, again)
@@ -189,7 +189,7 @@
 // refuseWaiter refuses a waiting request and says when to come again.
 func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, reason bbtverdict.Reason) Action {
 	s.refund(now, &w.reg, now.Sub(w.arrived))
-	after := s.returns.schedule(now, w)
+	after := s.returns.schedule(now, w.left(now))
 	return Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(reason), RetryAfter: after}}
 }
 
--- a/core/bbtschedule/waiter.go
+++ b/core/bbtschedule/waiter.go
@@ -30,6 +30,13 @@
 	return &waiter{key: k, reg: r, rank: r.Tier, arrived: now, due: now.Add(r.Objective), expires: now.Add(r.Left), again: again}
 }
 
+// left returns the registration with the time that is left now.
+func (w *waiter) left(now time.Time) Registration {
+	r := w.reg
+	r.Left = w.expires.Sub(now)
+	return r
+}
+
 // late reports whether no endpoint can keep the objective. A caller that was
 // refused before is late for having waited.
 func (w *waiter) late(now time.Time) bool { return w.again || now.Add(w.needs).After(w.due) }
