--- a/cmd/bluebelltray/edge.go
+++ b/cmd/bluebelltray/edge.go
@@ -31,7 +31,7 @@
 		counters.Add("platform-entries-unreadable", 1)
 		log.Warn("entry of the platform ignored", zap.String("key", key), zap.Error(err))
 	})
-	app, err := bbtapp.NewEdge(s, source, platform.Dialect{}, pages, log, counters)
+	app, err := bbtapp.NewEdge(s, func() (bbtedge.Settings, error) { return platform.LoadBoot(c.Boot) }, source, platform.Dialect{}, pages, log, counters)
 	if err != nil {
 		return err
 	}
--- a/core/bbtcatalog/keeper.go
+++ b/core/bbtcatalog/keeper.go
@@ -40,6 +40,9 @@
 // for none.
 func NewKeeper(drain time.Duration) *Keeper { return &Keeper{drain: drain} }
 
+// SetDrain changes the operators' bound that NewKeeper takes.
+func (k *Keeper) SetDrain(drain time.Duration) { k.drain = drain }
+
 // Revision returns the platform revision up to which all changes are known.
 func (k *Keeper) Revision() uint64 { return k.revision }
 
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -92,6 +92,18 @@
 // the part of the slots may be the larger one.
 func (s *Scheduler) SetShare(limits, slots float64) { s.share, s.slots = limits, slots }
 
+// SetBounds changes the operators' bounds. Counts over a window that has another
+// length begin anew.
+func (s *Scheduler) SetBounds(b bbtcatalog.Bounds) {
+	if b.RateWindow != s.bounds.RateWindow {
+		s.meters = make(map[string]*Meter)
+	}
+	if b.RetryWindow != s.bounds.RetryWindow {
+		s.repeats = newRepeats(b)
+	}
+	s.bounds, s.repeats.bounds = b, b
+}
+
 // Share returns the part of all limits that this owner may use.
 func (s *Scheduler) Share() float64 { return s.share }
 
--- a/io/bbtapp/edge.go
+++ b/io/bbtapp/edge.go
@@ -36,7 +36,7 @@
 	edge     *bbtedge.Edge
 	gateway  *bbtgateway.Gateway
 	kratos   *kratos.App
-	front    *khttp.Server
+	reloader *reloader
 }
 
 // Pages are the handlers that a platform's adapter makes for a host.
@@ -45,9 +45,9 @@
 	Ready     http.Handler
 }
 
-// NewEdge returns the process of a host with its settings. pages makes the
-// platform's pages for it.
-func NewEdge(s bbtedge.Settings, source bluebelltray.Source, dialect bluebelltray.Dialect,
+// NewEdge returns the process of a host with its settings, which read reads
+// anew. pages makes the platform's pages for it.
+func NewEdge(s bbtedge.Settings, read func() (bbtedge.Settings, error), source bluebelltray.Source, dialect bluebelltray.Dialect,
 	pages func(*bbtedge.Edge) Pages, log *zap.Logger, counters *bbtmetric.Counters) (*Edge, error) {
 	node, err := listenPeers(s, counters)
 	if err != nil {
@@ -55,6 +55,7 @@
 	}
 	edge := bbtedge.New(s, source, node, bbtedge.WithLogger(log), bbtedge.WithCounters(counters))
 	a := &Edge{settings: s, log: log, edge: edge, gateway: bbtgateway.New(edge, dialect, counters, log)}
+	a.reloader = newReloader(edge, s, log, read)
 	p := pages(edge)
 	front, err := serve(s.Callers, a.gateway)
 	if err != nil {
@@ -68,7 +69,6 @@
 	if err != nil {
 		return nil, err
 	}
-	a.front = front
 	a.kratos = kratos.New(
 		kratos.Name("bluebelltray"),
 		kratos.Server(front, directory, ready),
@@ -112,6 +112,8 @@
 // Run serves until a signal ends the process.
 func (a *Edge) Run() error {
 	defer a.edge.Close()
+	defer close(a.reloader.stop)
+	go a.reloader.run()
 	a.log.Info("started", zap.String("node", a.settings.Name), zap.String("zone", string(a.settings.Zone)))
 	err := a.kratos.Run()
 	a.log.Info("stopped", zap.Error(err))
--- /dev/null
+++ b/io/bbtapp/reload_test.go
@@ -0,0 +1,45 @@
+package bbtapp
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/io/bbtedge"
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+func TestHangupReloadsSettings(t *testing.T) {
+	read := make(chan struct{}, 8)
+	r := newReloader(nil, bbtedge.Settings{}, zap.NewNop(), func() (bbtedge.Settings, error) {
+		read <- struct{}{}
+		return bbtedge.Settings{}, nil
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		r.run()
+	}()
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	<-read // without the reloader the signal ends the test's process
+	close(r.stop)
+	<-done
+}
+
+func TestUnreadableSettingsChangeNothing(t *testing.T) {
+	core, logs := observer.New(zap.InfoLevel)
+	last := bbtedge.Settings{Bounds: bbtcatalog.Bounds{Drain: time.Second}}
+	r := newReloader(nil, last, zap.New(core), func() (bbtedge.Settings, error) {
+		return bbtedge.Settings{}, errors.New("torn")
+	})
+	r.reload() // would fail without an edge if it took anything over
+	if got := logs.FilterMessage("settings not reloaded").Len(); got != 1 || r.last.Bounds != last.Bounds {
+		t.Errorf("got %d lines and %+v, want one line and the old settings", got, r.last)
+	}
+}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -46,6 +46,7 @@
 	log      *zap.Logger
 	counters *bbtmetric.Counters
 	peers    peers
+	lifetime time.Duration // operators' bound on that of an address answer
 	events   chan event
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -100,6 +101,7 @@
 		log:         zap.NewNop(),
 		counters:    bbtmetric.New(),
 		peers:       node,
+		lifetime:    s.Bounds.Lifetime,
 		events:      make(chan event, eventQueue),
 		ctx:         ctx,
 		cancel:      cancel,
@@ -161,9 +163,13 @@
 
 // Addresses returns the caller addresses to use, and for how long.
 func (e *Edge) Addresses() ([]string, time.Duration) {
-	return *e.addresses.Load(), min(addressLife, e.settings.Bounds.Lifetime)
+	return *e.addresses.Load(), min(addressLife, e.lifetime)
 }
 
+// Reload takes over new settings as far as they can change while the process
+// runs.
+func (e *Edge) Reload(s Settings) { e.post(reloaded{s}) }
+
 // Leave makes the host known as leaving; it takes requests on until it closes.
 func (e *Edge) Leave() {
 	e.leaving.Store(true)
--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -35,6 +35,9 @@
 	returned bool // it had not answered for a while
 }
 
+// reloaded is new settings.
+type reloaded struct{ settings Settings }
+
 // left says that the host is about to stop.
 type left struct{}
 
@@ -66,6 +69,15 @@
 	e.take(now, ev.update, "platform")
 }
 
+// apply takes over what can change while the process runs: the operators'
+// bounds. Addresses need a new process.
+func (ev reloaded) apply(e *Edge, _ time.Time) {
+	e.settings.Bounds = ev.settings.Bounds
+	e.keeper.SetDrain(ev.settings.Bounds.Drain)
+	e.scheduler.SetBounds(ev.settings.Bounds)
+	e.log.Info("settings reloaded", zap.Any("bounds", ev.settings.Bounds))
+}
+
 func (left) apply(e *Edge, now time.Time) {
 	e.log.Info("leaving", zap.Int("requests", e.entry.Len()))
 	e.doMember(now, e.member.Leave(now, e.digest(now)))
