bluebelltray explain; metrics as text, latencies, status of an edge

One line tells a request's story at the host that took it: what was decided, by which owner and on what grounds (requests ahead, expected wait, requests at the endpoint), with the version in force. explain reads such lines, also behind what a collector puts before them, and passes over torn ones with a count. /metrics, /debug/vars and /status on a port of the command line.

--- a/cmd/bluebelltray/edge.go
+++ b/cmd/bluebelltray/edge.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"net"
 	"os"
+	"strconv"
 
 	"bluebelltray/io/bbtapp"
 	"bluebelltray/io/bbtedge"
@@ -14,7 +16,8 @@
 
 // edgeCmd runs an entry host on the users' platform.
 type edgeCmd struct {
-	Boot string `env:"BLUEBELLTRAY_BOOT" required:"" type:"path" placeholder:"FILE" help:"The settings file that the platform writes."`
+	Boot        string `env:"BLUEBELLTRAY_BOOT" required:"" type:"path" placeholder:"FILE" help:"The settings file that the platform writes."`
+	MetricsPort int    `placeholder:"PORT" help:"TCP port of the pages for operators: /metrics, /debug/vars and /status."`
 }
 
 // Run serves until a signal ends the process.
@@ -23,10 +26,15 @@
 	if err != nil {
 		return &exitError{code: exitUnusable, err: err}
 	}
+	if c.MetricsPort != 0 {
+		s.Metrics = net.JoinHostPort(string(s.Host), strconv.Itoa(c.MetricsPort))
+	}
 	ring := bbtlog.New(os.Stdout, zapcore.InfoLevel)
 	defer ring.Close()
 	log := ring.Logger()
 	counters := bbtmetric.New()
+	counters.Watch("log-lines-dropped-routine", func() int64 { n, _ := ring.Dropped(); return n })
+	counters.Watch("log-lines-dropped-grave", func() int64 { _, n := ring.Dropped(); return n })
 	source := platform.NewStore(s.Platform, func(key string, err error) {
 		counters.Add("platform-entries-unreadable", 1)
 		log.Warn("entry of the platform ignored", zap.String("key", key), zap.Error(err))
--- a/cmd/bluebelltray/main.go
+++ b/cmd/bluebelltray/main.go
@@ -12,12 +12,13 @@
 
 // cli is the command line.
 type cli struct {
-	Serve  serveCmd  `cmd:"" help:"Run an entry host."`
-	Edge   edgeCmd   `cmd:"" help:"Run an entry host on a platform that publishes routes and servers."`
-	Check  checkCmd  `cmd:"" help:"Check settings and configuration files and explain contracts."`
-	Demo   demoCmd   `cmd:"" help:"Run platform stand-in, endpoints, entry hosts and callers in one process and show goodput by tier."`
-	Send   sendCmd   `cmd:"" help:"Send a request as a caller does and print the answer."`
-	Status statusCmd `cmd:"" help:"Show a running host's view, endpoints, peers and counters."`
+	Serve   serveCmd   `cmd:"" help:"Run an entry host."`
+	Edge    edgeCmd    `cmd:"" help:"Run an entry host on a platform that publishes routes and servers."`
+	Check   checkCmd   `cmd:"" help:"Check settings and configuration files and explain contracts."`
+	Demo    demoCmd    `cmd:"" help:"Run platform stand-in, endpoints, entry hosts and callers in one process and show goodput by tier."`
+	Send    sendCmd    `cmd:"" help:"Send a request as a caller does and print the answer."`
+	Status  statusCmd  `cmd:"" help:"Show a running host's view, endpoints, peers and counters."`
+	Explain explainCmd `cmd:"" help:"Tell from log lines what became of a request, or what failed in a span of time."`
 }
 
 func main() {
--- a/core/bbtcatalog/route.go
+++ b/core/bbtcatalog/route.go
@@ -12,6 +12,9 @@
 	Streaming              // answers with events; runs at most once unless it may be resumed
 )
 
+// String returns the kind's name in kebab case.
+func (k Kind) String() string { return [...]string{"at-most-once", "idempotent", "streaming"}[k] }
+
 // Route says where the requests below a path prefix of a host name go. It is
 // passed between hosts, so its fields are exported.
 type Route struct {
--- a/core/bbtentry/action.go
+++ b/core/bbtentry/action.go
@@ -23,6 +23,15 @@
 	Attempt  int
 	Endpoint string
 	Address  string // IP:port
+	Grounds  Grounds
+}
+
+// Grounds is what an owner knew when it decided.
+type Grounds struct {
+	Owner   bbtfleet.HostID
+	Running int           // requests at the endpoint of a dispatch
+	Ahead   int           // requests that would have gone before a refused one
+	Wait    time.Duration // expected until its turn
 }
 
 // Fail ends a request that gets no further dispatch.
@@ -30,6 +39,7 @@
 	ID         bbtschedule.RequestID
 	Reason     bbtverdict.Reason
 	RetryAfter time.Duration
+	Grounds    Grounds
 }
 
 // OwnerSilent says that the owner does not answer.
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -128,16 +128,19 @@
 	}
 	e.used.count(now, c)
 	c.running, c.began, c.endpoint, c.granted, c.from = true, false, p.Endpoint, now, from
-	return []Action{Dispatch{ID: c.id, Attempt: c.attempt, Endpoint: p.Endpoint, Address: p.Address}}
+	return []Action{Dispatch{ID: c.id, Attempt: c.attempt, Endpoint: p.Endpoint, Address: p.Address,
+		Grounds: Grounds{Owner: from, Running: p.Running}}}
 }
 
 // Refused takes a refusal.
-func (e *Entry) Refused(_ time.Time, r bbtschedule.Refusal) []Action {
+func (e *Entry) Refused(from bbtfleet.HostID, r bbtschedule.Refusal) []Action {
 	c := e.calls[r.ID]
 	if c == nil || c.running || c.attempt != r.Attempt {
 		return nil
 	}
-	return e.fail(c, bbtverdict.Reason(r.Reason), r.RetryAfter)
+	delete(e.calls, c.id)
+	return []Action{Fail{ID: c.id, Reason: bbtverdict.Reason(r.Reason), RetryAfter: r.RetryAfter,
+		Grounds: Grounds{Owner: from, Ahead: r.Ahead, Wait: r.Wait}}}
 }
 
 // Began records the first event of a dispatch.
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -49,6 +49,7 @@
 	Endpoint string    `cbor:"3,keyasint"`
 	Address  string    `cbor:"4,keyasint"`
 	Speed    Speed     `cbor:"5,keyasint,omitzero"`
+	Running  int       `cbor:"6,keyasint,omitempty"` // requests at the endpoint, this one included
 }
 
 // Speed is what an owner has learnt of an endpoint. It travels with permits, so
@@ -66,6 +67,8 @@
 	Attempt    int           `cbor:"2,keyasint,omitempty"`
 	Reason     string        `cbor:"3,keyasint"`
 	RetryAfter time.Duration `cbor:"4,keyasint,omitempty"`
+	Ahead      int           `cbor:"5,keyasint,omitempty"` // requests that would have gone before it
+	Wait       time.Duration `cbor:"6,keyasint,omitempty"` // expected until its turn
 }
 
 // Began says that a request's first event or answer has arrived.
@@ -136,8 +139,8 @@
 
 // Deficit is what an account lacks of its burst.
 type Deficit struct {
-	Account string  `cbor:"1,keyasint"`
-	Lacks   float64 `cbor:"2,keyasint"` // units
+	Account string  `cbor:"1,keyasint" json:"account"`
+	Lacks   float64 `cbor:"2,keyasint" json:"lacks"` // units
 }
 
 // Message is any of the messages to an owner or to an entry host.
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -191,18 +191,23 @@
 	w := newWaiter(now, k, r, again)
 	sv.push(now, w)
 	out := s.grant(now, sv)
-	if w.done || sv.admits(now, w) {
+	if w.done {
+		return out
+	}
+	ahead, wait := sv.turn(now, w)
+	if sv.admits(now, w, wait) {
 		return out
 	}
 	sv.drop(w)
-	return append(out, s.refuseWaiter(now, w, bbtverdict.ReasonNoRoom))
+	return append(out, s.refuseWaiter(now, w, Refusal{Reason: string(bbtverdict.ReasonNoRoom), Ahead: ahead, Wait: wait}))
 }
 
 // refuseWaiter refuses a waiting request and says when to come again.
-func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, reason bbtverdict.Reason) Action {
+func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, r Refusal) Action {
 	s.refund(now, &w.reg, now.Sub(w.arrived))
-	after := s.returns.schedule(now, w.left(now))
-	return Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(reason), RetryAfter: after}}
+	r.ID, r.Attempt = w.reg.ID, w.reg.Attempt
+	r.RetryAfter = s.returns.schedule(now, w.left(now))
+	return Action{w.key.host, r}
 }
 
 // Withdraw takes a waiting request out.
@@ -296,8 +301,9 @@
 	out := s.grantAll(now)
 	for _, sv := range s.services {
 		for _, w := range sv.overdue(now) {
+			ahead, wait := sv.turn(now, w)
 			sv.drop(w)
-			out = append(out, s.refuseWaiter(now, w, bbtverdict.ReasonDeadline))
+			out = append(out, s.refuseWaiter(now, w, Refusal{Reason: string(bbtverdict.ReasonDeadline), Ahead: ahead, Wait: wait}))
 		}
 	}
 	return out
@@ -362,6 +368,6 @@
 	s.runs[w.key] = r
 	e.grant(now, r, s.share)
 	return Action{w.key.host, Permit{
-		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, Speed: e.speed(),
+		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, Speed: e.speed(), Running: len(e.running),
 	}}
 }
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -196,24 +196,30 @@
 	return stall+gap > stallPart*float64(r.Pause)/float64(time.Millisecond)
 }
 
-// admits reports whether a request that found no room may wait: it must be
-// likely to get its turn while it keeps its objective, or before it is given up
-// if it came back as told.
-func (sv *service) admits(now time.Time, w *waiter) bool {
-	if len(sv.endpoints) == 0 {
-		return false
-	}
-	ahead, late := 1, w.late(now)
+// turn returns how many waiting requests go before one, and how long it is
+// likely to wait for them.
+func (sv *service) turn(now time.Time, w *waiter) (int, time.Duration) {
+	ahead, late := 0, w.late(now)
 	for _, o := range sv.waiting {
 		if o != w && (o.late(now) == late && o.compare(w) < 0 || late && !o.late(now)) {
 			ahead++
 		}
 	}
-	wait := time.Duration(float64(ahead) / sv.perSecond(now) * float64(time.Second))
-	if w.again {
+	return ahead, time.Duration(float64(ahead+1) / sv.perSecond(now) * float64(time.Second))
+}
+
+// admits reports whether a request that found no room may wait so long: it must
+// be likely to get its turn while it keeps its objective, or before it is given
+// up if it came back as told.
+func (sv *service) admits(now time.Time, w *waiter, wait time.Duration) bool {
+	switch {
+	case len(sv.endpoints) == 0:
+		return false
+	case w.again:
 		return wait <= w.patience()
+	default:
+		return !now.Add(wait + w.needs).After(w.due)
 	}
-	return !now.Add(wait + w.needs).After(w.due)
 }
 
 // overdue returns the requests that have waited too long.
--- a/io/bbtapp/edge.go
+++ b/io/bbtapp/edge.go
@@ -15,6 +15,7 @@
 	"bluebelltray/io/bbtpeer"
 	"github.com/cockroachdb/errors"
 	"github.com/go-kratos/kratos/v2"
+	"github.com/go-kratos/kratos/v2/transport"
 	khttp "github.com/go-kratos/kratos/v2/transport/http"
 	"go.uber.org/zap"
 )
@@ -49,12 +50,14 @@
 // anew. pages makes the platform's pages for it.
 func NewEdge(s bbtedge.Settings, read func() (bbtedge.Settings, error), source bluebelltray.Source, dialect bluebelltray.Dialect,
 	pages func(*bbtedge.Edge) Pages, log *zap.Logger, counters *bbtmetric.Counters) (*Edge, error) {
+	latencies := bbtmetric.NewLatencies()
 	node, err := listenPeers(s, counters)
 	if err != nil {
 		return nil, err
 	}
 	edge := bbtedge.New(s, source, node, bbtedge.WithLogger(log), bbtedge.WithCounters(counters))
-	a := &Edge{settings: s, log: log, edge: edge, gateway: bbtgateway.New(edge, dialect, counters, log)}
+	a := &Edge{settings: s, log: log, edge: edge, gateway: bbtgateway.New(edge, dialect, bbtgateway.WithLogger(log),
+		bbtgateway.WithCounters(counters), bbtgateway.WithLatencies(latencies))}
 	a.reloader = newReloader(edge, s, log, read)
 	p := pages(edge)
 	front, err := serve(s.Callers, a.gateway)
@@ -69,15 +72,33 @@
 	if err != nil {
 		return nil, err
 	}
+	servers := []transport.Server{front, directory, ready}
+	if s.Metrics != "" {
+		m, err := serve(s.Metrics, metricPages(edge, counters, latencies))
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, m)
+	}
 	a.kratos = kratos.New(
 		kratos.Name("bluebelltray"),
-		kratos.Server(front, directory, ready),
+		kratos.Server(servers...),
 		kratos.Signal(syscall.SIGTERM, syscall.SIGINT),
 		kratos.StopTimeout(max(graceMargin, s.Bounds.Grace-callersGone-graceMargin)),
 		kratos.BeforeStop(a.drain))
 	return a, nil
 }
 
+// metricPages returns the pages for operators: metrics in both forms and what
+// the owner role of this host believes.
+func metricPages(e *bbtedge.Edge, c *bbtmetric.Counters, l *bbtmetric.Latencies) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", bbtmetric.Text(c, l))
+	mux.Handle("GET /debug/vars", c)
+	mux.Handle("GET /status", e.StatusPage())
+	return mux
+}
+
 // listenPeers opens the host's end of the connections between hosts.
 func listenPeers(s bbtedge.Settings, counters *bbtmetric.Counters) (*bbtpeer.Node, error) {
 	packets, err := net.ListenPacket("udp4", s.PeerAddr(s.Host))
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -228,16 +228,35 @@
 
 // logLoad logs once in a while what the owner knows of its endpoints.
 func (e *Edge) logLoad(now time.Time) {
-	if e.entry.Owner() != e.settings.Host || now.Sub(e.loadAt) < loadPeriod {
+	if now.Sub(e.loadAt) < loadPeriod {
 		return
 	}
 	e.loadAt = now
+	e.gauge(now)
+	if e.entry.Owner() != e.settings.Host {
+		return
+	}
 	for _, st := range e.scheduler.Status(now) {
 		e.log.Info("load", zap.String("service", st.Name), zap.Int("waiting", st.Waiting),
 			zap.Float64("per-second", st.PerSecond), zap.Float64("share", e.scheduler.Share()), zap.Any("endpoints", st.Endpoints))
 	}
 }
 
+// gauge sets the gauges.
+func (e *Edge) gauge(now time.Time) {
+	e.counters.Set("requests-in-hand", int64(e.entry.Len()))
+	e.counters.Set("platform-revision", int64(e.keeper.Revision()))
+	e.counters.Set("hosts-up", int64(len(*e.addresses.Load())))
+	if at := e.reader.confirmed(); !at.IsZero() {
+		e.counters.Set("platform-age-ms", now.Sub(at).Milliseconds())
+	}
+	owner := int64(0)
+	if e.entry.Owner() == e.settings.Host {
+		owner = 1
+	}
+	e.counters.Set("is-owner", owner)
+}
+
 // post passes an event to run, waiting for room; it reports false once the
 // edge is closed.
 func (e *Edge) post(ev event) bool {
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -25,7 +25,7 @@
 			e.step(a.ID, step{dispatch: a})
 		case bbtentry.Fail:
 			err := bbtverdict.New(bbtverdict.NotRun, a.Reason, bbtverdict.WithRetryAfter(a.RetryAfter))
-			e.step(a.ID, step{err: err})
+			e.step(a.ID, step{dispatch: bbtentry.Dispatch{Grounds: a.Grounds}, err: err})
 			delete(e.flights, a.ID)
 		case bbtentry.OwnerSilent:
 			e.log.Warn("owner silent", zap.String("peer", string(a.Host)), zap.Duration("for", a.For))
@@ -101,7 +101,7 @@
 		}
 		e.doEntry(now, e.entry.Permitted(now, from, m))
 	case bbtschedule.Refusal:
-		e.doEntry(now, e.entry.Refused(now, m))
+		e.doEntry(now, e.entry.Refused(from, m))
 	case bbtmember.Message:
 		e.doMember(now, e.member.Receive(now, from, m, e.digest(now)))
 	case Roster:
--- a/io/bbtedge/settings.go
+++ b/io/bbtedge/settings.go
@@ -20,6 +20,7 @@
 	CallerPort string // the same on all hosts
 	Ready      string // IP:port of the platform's checks
 	Directory  string // IP:port that callers ask for addresses
+	Metrics    string // IP:port of the pages for operators; empty for none
 	PeerPort   int    // UDP port between hosts, the same on all of them
 	Seeds      []bbtfleet.HostID
 	Platform   string // IP:port
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -38,14 +38,34 @@
 	edge      *bbtedge.Edge
 	dialect   bluebelltray.Dialect
 	counters  *bbtmetric.Counters
+	latencies *bbtmetric.Latencies
 	log       *zap.Logger
 	transport *http.Transport
 	active    atomic.Int64
 }
 
+// Option sets an optional part of a Gateway.
+type Option func(*Gateway)
+
+// WithLogger sets where the story of each request is logged.
+func WithLogger(l *zap.Logger) Option { return func(g *Gateway) { g.log = l } }
+
+// WithCounters sets the metrics that the gateway counts in.
+func WithCounters(c *bbtmetric.Counters) Option { return func(g *Gateway) { g.counters = c } }
+
+// WithLatencies sets the histograms of how long requests take.
+func WithLatencies(l *bbtmetric.Latencies) Option { return func(g *Gateway) { g.latencies = l } }
+
 // New returns a gateway in front of an edge.
-func New(e *bbtedge.Edge, d bluebelltray.Dialect, c *bbtmetric.Counters, log *zap.Logger) *Gateway {
-	return &Gateway{edge: e, dialect: d, counters: c, log: log, transport: newTransport()}
+func New(e *bbtedge.Edge, d bluebelltray.Dialect, opts ...Option) *Gateway {
+	g := &Gateway{
+		edge: e, dialect: d, counters: bbtmetric.New(), latencies: bbtmetric.NewLatencies(),
+		log: zap.NewNop(), transport: newTransport(),
+	}
+	for _, opt := range opts {
+		opt(g)
+	}
+	return g
 }
 
 // Active returns how many requests are being served.
@@ -92,6 +112,8 @@
 	story    []string // endpoints and outcomes, for the log
 	status   int
 	reason   string
+	grounds  bbtentry.Grounds // of the owner's last decision
+	retry    time.Duration    // after which the caller was told to come again
 	granted  time.Time
 	first    time.Time // first byte of the answer to the caller
 }
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -30,6 +30,7 @@
 	defer cancel()
 	for {
 		d, err := x.flight.Next(ctx)
+		x.grounds = d.Grounds
 		if err != nil {
 			x.end(err)
 			return
@@ -119,7 +120,7 @@
 // refuse answers with a refusal of the system's own.
 func (x *exchange) refuse(err error) {
 	e := bbtverdict.As(err, bbtverdict.ReasonOverloaded)
-	x.reason = string(e.Reason())
+	x.reason, x.retry = string(e.Reason()), e.RetryAfter()
 	x.gateway.counters.Refused(e)
 	if x.answered {
 		panic(http.ErrAbortHandler) // the caller sees that the answer is not whole
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -19,7 +19,6 @@
 	"bluebelltray/io/bbtmetric"
 	"bluebelltray/io/bbtpeer"
 	"bluebelltray/platform"
-	"go.uber.org/zap"
 )
 
 // noPeers is the peer side of a host that is alone.
@@ -101,7 +100,7 @@
 	e := bbtedge.New(bbtedge.Settings{Host: "10.0.0.1", Callers: "10.0.0.1:1", CallerPort: "1", First: true, Bounds: bounds},
 		published{u}, noPeers{make(chan bbtpeer.Inbound), make(chan bbtfleet.HostID)}, bbtedge.WithCounters(counters))
 	t.Cleanup(e.Close)
-	w.front = httptest.NewServer(bbtgateway.New(e, platform.Dialect{}, counters, zap.NewNop()))
+	w.front = httptest.NewServer(bbtgateway.New(e, platform.Dialect{}, bbtgateway.WithCounters(counters)))
 	t.Cleanup(w.front.Close)
 	for !e.Ready() {
 		<-time.After(time.Millisecond)
--- a/io/bbtmetric/counters.go
+++ b/io/bbtmetric/counters.go
@@ -53,6 +53,11 @@
 	c.gauges.Set(name, v)
 }
 
+// Watch makes a gauge of what f returns whenever the metrics are read.
+func (c *Counters) Watch(name string, f func() int64) {
+	c.gauges.Set(name, expvar.Func(func() any { return f() }))
+}
+
 // Get returns the count of the given name.
 func (c *Counters) Get(name string) int64 { return intOf(c.all.Get(name)) }
 
@@ -70,9 +75,13 @@
 
 // intOf returns the value of an integer variable, or zero.
 func intOf(v expvar.Var) int64 {
-	n, ok := v.(*expvar.Int)
-	if !ok {
+	switch v := v.(type) {
+	case *expvar.Int:
+		return v.Value()
+	case expvar.Func:
+		n, _ := v.Value().(int64) // gauges that are watched are such numbers
+		return n
+	default:
 		return 0
 	}
-	return n.Value()
 }
