--- a/core/bbtschedule/endpoint_test.go
+++ b/core/bbtschedule/endpoint_test.go
@@ -195,6 +195,17 @@
 	}
 }
 
+// Pattern: an answer that may be too long for its caller's time anywhere. It is
+// sent all the same while endpoints stand free.
+func TestRequestThatNobodyMayFinishIsSent(t *testing.T) {
+	s := newFleet(2, 4)
+	long := stream(1, 0)
+	long.Output, long.Hint = 30_000, 30_000
+	if got := permits(s.Register(start, "host", long)); len(got) != 1 {
+		t.Errorf("got %d permits, want 1", len(got))
+	}
+}
+
 func BenchmarkRegisterWhenFull(b *testing.B) {
 	for _, n := range []int{12, 112, 600} {
 		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -17,7 +18,7 @@
 	rateWindow  = time.Second
 	briefPart   = 0.3 // of the usual time in a slot, below which a request is brief
 	topRank     = -1
-	finishPart  = 0.9  // of the caller's time, in which an answer is to be whole by its forecast
+	finishSpare = 1.1  // factor on a forecast end that has to be in the caller's time
 	acrossZones = 1.15 // factor on the time of a request at an endpoint in another availability zone
 )
 
@@ -53,28 +54,32 @@
 	if sv.record.Engine && sv.brief(&w.reg) {
 		w.rank = topRank
 	}
-	w.needs = sv.fastest(now, &w.reg)
+	w.needs, w.takes = sv.fastest(now, &w.reg)
 	i, _ := slices.BinarySearchFunc(sv.waiting, w, func(a, b *waiter) int { return cmp.Or(a.compare(b), -1) })
 	sv.waiting = slices.Insert(sv.waiting, i, w)
 }
 
-// fastest returns the time until the first event of a request at the endpoint
-// that is fastest when it has nothing else to read.
-func (sv *service) fastest(now time.Time, r *Registration) time.Duration {
-	best := -1.0
+// fastest returns the times until the first event of a request and until its
+// end at the endpoints that are fastest when they have nothing else to read.
+func (sv *service) fastest(now time.Time, r *Registration) (first, whole time.Duration) {
+	leastFirst, leastWhole := math.Inf(1), math.Inf(1)
 	for _, e := range sv.endpoints {
 		if e.record.Draining || e.out {
 			continue
 		}
-		first, _, _ := e.forecast(now, r)
-		first -= e.backlog(now)
-		if best < 0 || first < best {
-			best = first
-		}
+		f, w, _ := e.forecast(now, r)
+		backlog := e.backlog(now)
+		leastFirst, leastWhole = min(leastFirst, f-backlog), min(leastWhole, w-backlog)
+	}
+	if math.IsInf(leastFirst, 1) {
+		return 0, 0
 	}
-	return time.Duration(max(best, 0) * float64(time.Millisecond))
+	return millis(leastFirst), millis(leastWhole)
 }
 
+// millis returns a duration of milliseconds.
+func millis(ms float64) time.Duration { return time.Duration(max(ms, 0) * float64(time.Millisecond)) }
+
 // drop takes a request out of the waiting room.
 func (sv *service) drop(w *waiter) {
 	w.done = true
@@ -162,7 +167,7 @@
 	var best *endpoint
 	var bestWhole float64
 	left := float64(w.due.Sub(now)) / float64(time.Millisecond)
-	ends := finishPart * float64(w.expires.Sub(now)) / float64(time.Millisecond)
+	ends := float64(w.mustEnd(now)) / float64(time.Millisecond)
 	patient := now.Sub(w.arrived) < w.reg.Aim/stallWaits
 	for _, e := range room {
 		if slices.Contains(w.reg.Exclude, e.record.ID) {
@@ -182,6 +187,16 @@
 	return best
 }
 
+// mustEnd returns the time in which an endpoint has to finish the request. One
+// that no endpoint finishes in the caller's time is sent to any.
+func (w *waiter) mustEnd(now time.Time) time.Duration {
+	left := time.Duration(float64(w.expires.Sub(now)) / finishSpare)
+	if w.takes > left {
+		return math.MaxInt64
+	}
+	return left
+}
+
 // stallWaits is the part of its objective that a request waits at most, as a
 // divisor, for an endpoint whose other streams it does not stall.
 const stallWaits = 4
--- a/core/bbtschedule/waiter.go
+++ b/core/bbtschedule/waiter.go
@@ -21,6 +21,7 @@
 	due     time.Time     // latency objective
 	expires time.Time     // the caller gives up
 	needs   time.Duration // until the first event at the endpoint that is fastest at its arrival
+	takes   time.Duration // until the end at the endpoint that is fastest at its arrival
 	again   bool          // it was refused before and has come back as told
 	done    bool          // it waits no more
 }
