--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -228,7 +228,7 @@
 		e.finished(now, r, d)
 	case Rejected:
 		e.pause(now, rejectionPause)
-	case Unreachable, Broken:
+	case Unreachable, Broken, Silent:
 		e.failures++
 		e.pause(now, min(maxPause, failurePause<<min(e.failures-1, 4)))
 	}
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -88,11 +88,12 @@
 	Broken                     // the connection ended before the answer did
 	Cancelled                  // the caller left or its time ran out
 	Unused                     // nothing was sent under the permit
+	Silent                     // given up as nothing came for too long
 )
 
 // String returns the outcome's name in kebab case.
 func (o Outcome) String() string {
-	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused"}[o]
+	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused", "silent"}[o]
 }
 
 // Done says how the dispatch under a permit ended.
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -26,6 +26,7 @@
 	exchange *exchange
 	dispatch bbtentry.Dispatch
 	reply    bluebelltray.Reply
+	silence  *silence
 	events   int
 	first    time.Time // of the first event
 	last     time.Time // of the last one
@@ -52,8 +53,8 @@
 // lost ends a dispatch without the head of an answer.
 func (a *answer) lost(ctx context.Context, err error) bool {
 	x := a.exchange
-	outcome := outcomeOf(ctx, err)
-	again := outcome == bbtschedule.Unreachable || outcome == bbtschedule.Broken && x.route.Repeatable()
+	outcome := a.outcomeOf(ctx, err)
+	again := outcome == bbtschedule.Unreachable || outcome != bbtschedule.Cancelled && x.route.Repeatable()
 	if a.done(outcome, again) {
 		return true
 	}
@@ -151,11 +152,8 @@
 
 // cut ends a dispatch whose answer broke off before any of it was passed on.
 func (a *answer) cut(ctx context.Context, err error) bool {
-	outcome := bbtschedule.Broken
-	if ctx.Err() != nil {
-		outcome = bbtschedule.Cancelled
-	}
-	if a.done(outcome, outcome == bbtschedule.Broken && a.exchange.route.Repeatable()) {
+	outcome := a.outcomeOf(ctx, err)
+	if a.done(outcome, outcome != bbtschedule.Cancelled && a.exchange.route.Repeatable()) {
 		return true
 	}
 	a.exchange.giveUp(ctx, bbtverdict.ReasonAnswerIncomplete, err)
@@ -165,6 +163,7 @@
 // copy passes a long answer on as it comes.
 func (a *answer) copy(ctx context.Context, resp *http.Response) bool {
 	x := a.exchange
+	a.silence.stop()
 	x.writeHead(resp.StatusCode, resp.Header)
 	if _, err := io.Copy(x.w, resp.Body); err != nil {
 		a.broken(ctx)
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -70,8 +70,11 @@
 // reports whether the scheduler is to be asked for another dispatch.
 func (x *exchange) dispatch(ctx context.Context, d bbtentry.Dispatch) bool {
 	x.granted = time.Now()
-	a := &answer{exchange: x, dispatch: d}
-	resp, err := x.gateway.transport.RoundTrip(x.request(ctx, d))
+	dctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	a := &answer{exchange: x, dispatch: d, silence: x.watch(cancel)}
+	defer a.silence.stop()
+	resp, err := x.gateway.transport.RoundTrip(x.request(dctx, d))
 	if err != nil {
 		return a.lost(ctx, err)
 	}
@@ -177,11 +180,13 @@
 	}
 }
 
-// outcomeOf returns the outcome of a dispatch that brought no answer.
-func outcomeOf(ctx context.Context, err error) bbtschedule.Outcome {
+// outcomeOf returns the outcome of a dispatch whose answer is not whole.
+func (a *answer) outcomeOf(ctx context.Context, err error) bbtschedule.Outcome {
 	switch {
 	case ctx.Err() != nil:
 		return bbtschedule.Cancelled
+	case a.silence.broke():
+		return bbtschedule.Silent
 	case isConnectError(err):
 		return bbtschedule.Unreachable
 	default:
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -55,7 +55,7 @@
 	if ctx.Err() != nil || !x.route.Resumable {
 		a.broken(ctx)
 	}
-	return a.done(bbtschedule.Broken, true)
+	return a.done(a.outcomeOf(ctx, err), true)
 }
 
 // emit passes whole events on.
@@ -67,6 +67,7 @@
 		x.flight.Began()
 	}
 	a.last = now
+	a.silence.heard()
 	n, last := count(events)
 	a.events += n
 	x.events += n
--- a/io/bbtgateway/stream_test.go
+++ b/io/bbtgateway/stream_test.go
@@ -19,6 +19,28 @@
 	}
 }
 
+func TestSilentEndpointIsLeftForAnother(t *testing.T) {
+	for name, c := range map[string]struct{ path, silent, second, want string }{
+		"before the first event": {"/hasty/", "", "id: 1\ndata: a\n\n", "id: 1\ndata: a\n\n"},
+		"amid the stream":        {"/hasty/", "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"},
+		"plain call":             {"/prompt/", "", "ok", "ok"},
+	} {
+		w := newWorld(t, 2, silent(c.silent), sealed(200, c.second))
+		resp, body, err := w.send(http.MethodGet, c.path, "")
+		if err != nil || resp.StatusCode != 200 || body != c.want {
+			t.Errorf("%s: got %v %q, %v, want %q", name, resp, body, err, c.want)
+		}
+	}
+}
+
+func TestSilentEndpointIsAwaitedIfNothingMayBeRepeated(t *testing.T) {
+	w := newWorld(t, 2, silent("id: 1\ndata: a\n\n"), sealed(200, "id: 2\ndata: b\n\n"))
+	_, body, err := w.send(http.MethodPost, "/stream/", "", "X-Deadline-Ms", "700")
+	if err == nil || body != "id: 1\ndata: a\n\n" || w.reached() != 1 {
+		t.Errorf("got %q, %v and %d runs, want it cut at the deadline after one run", body, err, w.reached())
+	}
+}
+
 func TestStreamThatMayNotBeResumedIsCut(t *testing.T) {
 	w := newWorld(t, 2, events("id: 1\ndata: a\n\n"), sealed(200, "id: 2\ndata: b\n\n"))
 	_, body, err := w.send(http.MethodPost, "/stream/", "")
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -70,13 +70,17 @@
 			Timeout: 10 * time.Second, Objective: 5 * time.Second, Targets: []bbtcatalog.Target{{Service: "plain", Weight: 1}},
 		}
 	}
+	hasty := route("/hasty/", bbtcatalog.Streaming, true)
+	hasty.Objective, hasty.Pause = 50*time.Millisecond, 50*time.Millisecond
+	prompt := route("/prompt/", bbtcatalog.Idempotent, false)
+	prompt.Objective = 50 * time.Millisecond
 	open := route("/open/", bbtcatalog.Idempotent, false)
 	open.Public = true
 	return &bbtcatalog.Config{
 		Version: 1, Keyed: true,
 		Routes: []bbtcatalog.Route{
 			route("/once/", bbtcatalog.AtMostOnce, false), route("/again/", bbtcatalog.Idempotent, false),
-			route("/stream/", bbtcatalog.Streaming, false), route("/resume/", bbtcatalog.Streaming, true), open,
+			route("/stream/", bbtcatalog.Streaming, false), route("/resume/", bbtcatalog.Streaming, true), open, hasty, prompt,
 		},
 		Services: []bbtcatalog.Service{{Name: "plain"}},
 		Accounts: []bbtcatalog.Account{{Name: "salons", Keys: []string{"key"}}},
@@ -192,3 +196,15 @@
 		panic(http.ErrAbortHandler)
 	}
 }
+
+// silent answers with a part of a stream, or with nothing, and then falls silent.
+func silent(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if text != "" {
+			w.Header().Set("X-Response-Seal", "seal")
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+		}
+		<-r.Context().Done()
+	}
+}
