--- /dev/null
+++ b/core/bbtschedule/running.go
@@ -0,0 +1,83 @@
+package bbtschedule
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+)
+
+// Began records the first event of a run.
+func (s *Scheduler) Began(now time.Time, from bbtfleet.HostID, id RequestID) []Action {
+	r := s.runs[key{from, id}]
+	if r == nil {
+		return nil
+	}
+	r.endpoint.began(now, r)
+	return s.grant(now, r.endpoint.service)
+}
+
+// Done records the end of a run.
+func (s *Scheduler) Done(now time.Time, from bbtfleet.HostID, d Done) []Action {
+	r := s.runs[key{from, d.ID}]
+	if r == nil || r.reg.Attempt != d.Attempt {
+		return nil
+	}
+	delete(s.runs, r.key)
+	r.endpoint.end(now, r, d)
+	switch d.Outcome {
+	case Rejected, Unreachable, Unused:
+		s.refund(now, &r.reg, now.Sub(r.granted))
+	case Broken:
+		s.suspects.crash(now, r.reg.Print, r.endpoint.incarnation())
+	}
+	return s.grant(now, r.endpoint.service)
+}
+
+// release ends a run of which its host has said no end.
+func (s *Scheduler) release(now time.Time, k key) {
+	if r := s.runs[k]; r != nil {
+		delete(s.runs, k)
+		r.endpoint.end(now, r, Done{Outcome: Cancelled})
+	}
+}
+
+// TakeOver counts what runs and what was used under a former owner's permits.
+func (s *Scheduler) TakeOver(now time.Time, from bbtfleet.HostID, t Takeover) {
+	for _, it := range t.Running {
+		e := s.byID[it.Endpoint]
+		k := key{from, it.Registration.ID}
+		if e == nil || s.runs[k] != nil {
+			continue
+		}
+		r := &run{key: k, reg: it.Registration, endpoint: e, granted: now.Add(-it.For), began: it.Began, adopted: true}
+		s.runs[k] = r
+		e.adopt(now, r)
+	}
+	s.TakeUse(now, t.Used)
+	for _, u := range t.Repeats {
+		s.repeats.meter(s.repeats.again, u.Service).Add(now, u.Ago, u.Amount)
+	}
+}
+
+// Learnt takes what a permit tells of an endpoint's speed.
+func (s *Scheduler) Learnt(endpoint string, v Speed) {
+	if e := s.byID[endpoint]; e != nil {
+		e.learnt(v)
+	}
+}
+
+// Forget drops what a dead host waits for and runs.
+func (s *Scheduler) Forget(now time.Time, host bbtfleet.HostID) []Action {
+	for _, sv := range s.services {
+		for _, w := range sv.of(host) {
+			sv.drop(w)
+			s.refund(now, &w.reg, now.Sub(w.arrived))
+		}
+	}
+	for k := range s.runs {
+		if k.host == host {
+			s.release(now, k)
+		}
+	}
+	return s.grantAll(now)
+}
