--- a/io/bbtedge/catalog.go
+++ b/io/bbtedge/catalog.go
@@ -24,12 +24,24 @@
 // digest returns what peers are told of this host's view.
 func (e *Edge) digest(now time.Time) bbtview.Digest {
 	d := bbtview.Digest{Revision: uint64(e.index.Load().Version()), Hosts: e.keeper.Revision(), Age: bbtview.AgeUnknown}
-	if at := e.reader.confirmed(); !at.IsZero() {
+	if at := e.confirmed(); !at.IsZero() {
 		d.Age = uint32(min(now.Sub(at).Milliseconds(), int64(bbtview.AgeUnknown-1)))
 	}
 	return d
 }
 
+// confirmed returns when the platform answered last, this host or one from which
+// it learns; zero if none is known.
+func (e *Edge) confirmed() time.Time {
+	at := e.reader.confirmed()
+	for _, h := range e.hosts {
+		if seen := e.fresh[h.ID()]; seen.After(at) && e.up(h.ID()) {
+			at = seen
+		}
+	}
+	return at
+}
+
 // compare asks a peer that knows more than this host for what it lacks.
 func (e *Edge) compare(now time.Time, from bbtfleet.HostID, d bbtview.Digest) {
 	if d.Age != bbtview.AgeUnknown {
@@ -93,17 +105,11 @@
 	if len(e.hosts) < smallFleet {
 		return true
 	}
-	older, freshest := 0, time.Time{}
+	older := 0
 	for _, h := range e.hosts {
-		if !e.up(h.ID()) {
-			continue
-		}
-		if uint64(e.member.Incarnation(h.ID())) < e.incarnation {
+		if e.up(h.ID()) && uint64(e.member.Incarnation(h.ID())) < e.incarnation {
 			older++
 		}
-		if at := e.fresh[h.ID()]; at.After(freshest) {
-			freshest = at
-		}
 	}
-	return older < readingHosts || now.Sub(freshest) > staleAfter
+	return older < readingHosts || now.Sub(e.confirmed()) > staleAfter
 }
--- a/io/bbtedge/fleet_test.go
+++ b/io/bbtedge/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -230,6 +231,42 @@
 	})
 }
 
+// Pattern: a large fleet before a store that prices calls. A few hosts read; the
+// others know of their freshness through peers and do not.
+func TestFewHostsOfALargeFleetRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(1)
+		var edges []*Edge
+		for i := range 30 {
+			edges = append(edges, w.join(bbtfleet.HostID(fmt.Sprintf("10.0.0.%02d", i)), s, "10.0.0.00", "10.0.0.01"))
+		}
+		defer closeAll(edges...)
+		time.Sleep(10 * time.Second)
+		before := reads(edges)
+		time.Sleep(20 * time.Second)
+		// Each of the reading hosts watches for two seconds at a time.
+		if got, most := reads(edges)-before, int64(readingHosts*20/2*3/2); got > most {
+			t.Errorf("got %d reads in 20 s, want at most %d", got, most)
+		}
+		s.publish(2)
+		time.Sleep(2 * time.Second)
+		for _, e := range edges {
+			if got := e.Index().Version(); got != 2 {
+				t.Errorf("%s: got version %d 2 s after it was published, want 2", e.settings.Host, got)
+			}
+		}
+	})
+}
+
+// reads returns how often hosts read the platform.
+func reads(edges []*Edge) int64 {
+	n := int64(0)
+	for _, e := range edges {
+		n += e.counters.Get("platform-reads")
+	}
+	return n
+}
+
 func TestHostIsNotReadyWithoutAConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w, s := newNetwork(t), newStore(1)
