--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -8,18 +8,22 @@
 
 // Assumptions about an endpoint of which nothing is known yet.
 const (
-	assumedRead    = 0.012 // ms to read a prompt token
-	assumedGap     = 50.0  // ms between events
-	assumedAnswer  = 30.0  // ms of a plain call
-	overdueTokens  = 10000 // prompt tokens whose reading takes as long as an engine may be silent
-	fixedTokens    = 2000  // prompt tokens whose reading takes as long as an engine's fixed work
-	coldBurst      = 2.0   // requests that a cold endpoint gets at once
-	rampFirst      = 2     // requests at once at an endpoint that was cold
-	rampStep       = 2     // more for each first event that it shows
-	failurePause   = 250 * time.Millisecond
-	maxPause       = 2 * time.Second
-	rejectionPause = 60 * time.Millisecond
-	prefixesKept   = 4096 // parts remembered of an engine
+	assumedRead   = 0.012 // ms to read a prompt token
+	assumedGap    = 50.0  // ms between events
+	assumedAnswer = 30.0  // ms of a plain call
+	overdueTokens = 10000 // prompt tokens whose reading takes as long as an engine may be silent
+	fixedTokens   = 2000  // prompt tokens whose reading takes as long as an engine's fixed work
+	coldBurst     = 2.0   // requests that a cold endpoint gets at once
+	plainQueue    = 2     // requests at a plain service for each of its slots, on their way there and back included
+	rampFirst     = 2     // requests at once at an endpoint that was cold
+	rampStep      = 2     // more for each first event that it shows
+	// failuresToPause is how many answers in a row have to break off; a single
+	// one may be the connection's fault.
+	failuresToPause = 2
+	failurePause    = 250 * time.Millisecond
+	maxPause        = 2 * time.Second
+	rejectionPause  = 60 * time.Millisecond
+	prefixesKept    = 4096 // parts remembered of an engine
 )
 
 // endpoint is what the owner knows of one incarnation of a server.
@@ -65,6 +69,9 @@
 		n = e.service.record.Slots
 	}
 	n = max(n, 1)
+	if !e.service.record.Engine {
+		n *= plainQueue
+	}
 	if share < 1 {
 		n = max(1, int(float64(n)*share))
 	}
@@ -228,12 +235,23 @@
 		e.finished(now, r, d)
 	case Rejected:
 		e.pause(now, rejectionPause)
-	case Unreachable, Broken, Silent:
+	case Unreachable:
+		e.failures++
+		e.pause(now, e.failurePause())
+	case Broken, Silent:
 		e.failures++
-		e.pause(now, min(maxPause, failurePause<<min(e.failures-1, 4)))
+		if e.failures >= failuresToPause {
+			e.pause(now, e.failurePause())
+		}
 	}
 }
 
+// failurePause returns for how long nothing is sent after another failure in a
+// row.
+func (e *endpoint) failurePause() time.Duration {
+	return min(maxPause, failurePause<<min(e.failures-1, 4))
+}
+
 // finished learns from a whole answer.
 func (e *endpoint) finished(now time.Time, r *run, d Done) {
 	e.service.hold.learn(float64(now.Sub(r.granted)) / float64(time.Millisecond))
--- a/core/bbtschedule/endpoint_test.go
+++ b/core/bbtschedule/endpoint_test.go
@@ -150,6 +150,36 @@
 	}
 }
 
+func TestOneBrokenAnswerPausesNobody(t *testing.T) {
+	s := newFleet(1, 10)
+	for i := range 2 {
+		s.Register(start, "host", stream(i, 1))
+	}
+	s.Done(start, "host", Done{ID: 0, Outcome: Broken})
+	if !s.byID["model-0"].open(start) {
+		t.Error("got the endpoint paused after one broken answer")
+	}
+	s.Done(start, "host", Done{ID: 1, Outcome: Broken})
+	if s.byID["model-0"].open(start) {
+		t.Error("got the endpoint open after two broken answers in a row")
+	}
+}
+
+// Pattern: plain services register when the scheduler already runs. They have no
+// cold start and so no ramp, which only first events of streams would end.
+func TestPlainServiceThatAppearsLaterHasAllItsSlots(t *testing.T) {
+	s := newFleet(0, 10)
+	s.SetCatalog(start, s.index, listed("plain", 1, 6))
+	granted := 0
+	for i := range 6 {
+		r := Registration{ID: RequestID(i), Service: "plain", Left: time.Second, Objective: time.Second, Aim: time.Second}
+		granted += len(permits(s.Register(start, "host", r)))
+	}
+	if granted != 6 {
+		t.Errorf("got %d requests at once, want all 6 slots", granted)
+	}
+}
+
 func TestExcludedEndpointIsNotChosen(t *testing.T) {
 	s := newFleet(2, 10)
 	r := stream(1, 1)
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -151,7 +151,7 @@
 		e = newEndpoint(sv, l.Endpoint)
 		s.byID[l.Endpoint.ID] = e
 		sv.add(e)
-		if s.started {
+		if s.started && sv.record.ColdTime > 0 {
 			e.cold = now.Add(sv.record.ColdTime)
 		}
 	}
