--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -14,7 +14,6 @@
 	overdueTokens = 10000 // prompt tokens whose reading takes as long as an engine may be silent
 	fixedTokens   = 2000  // prompt tokens whose reading takes as long as an engine's fixed work
 	coldBurst     = 2.0   // requests that a cold endpoint gets at once
-	plainQueue    = 2     // requests at a plain service for each of its slots, on their way there and back included
 	rampFirst     = 2     // requests at once at an endpoint that was cold
 	rampStep      = 2     // more for each first event that it shows
 	// failuresToPause is how many answers in a row have to break off; a single
@@ -69,9 +68,6 @@
 		n = e.service.record.Slots
 	}
 	n = max(n, 1)
-	if !e.service.record.Engine {
-		n *= plainQueue
-	}
 	if share < 1 {
 		n = max(1, int(float64(n)*share))
 	}
