--- a/cmd/bluebelltray/edge.go
+++ b/cmd/bluebelltray/edge.go
@@ -10,19 +10,28 @@
 	"bluebelltray/io/bbtlog"
 	"bluebelltray/io/bbtmetric"
 	"bluebelltray/platform"
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
 // edgeCmd runs an entry host on the users' platform.
 type edgeCmd struct {
-	Boot        string `env:"BLUEBELLTRAY_BOOT" required:"" type:"path" placeholder:"FILE" help:"The settings file that the platform writes."`
+	Boot        string `type:"path" placeholder:"FILE" help:"The settings file that the platform writes; by default the one that its environment variable names."`
 	MetricsPort int    `placeholder:"PORT" help:"TCP port of the pages for operators: /metrics, /debug/vars and /status."`
 }
 
 // Run serves until a signal ends the process.
 func (c *edgeCmd) Run() error {
-	s, err := platform.LoadBoot(c.Boot)
+	path := c.Boot
+	if path == "" {
+		path = os.Getenv(platform.BootVariable)
+	}
+	if path == "" {
+		return &exitError{code: exitUnusable, err: errors.Newf("no settings file: neither --boot nor %s names one", platform.BootVariable)}
+	}
+	read := func() (bbtedge.Settings, error) { return platform.LoadBoot(path) }
+	s, err := read()
 	if err != nil {
 		return &exitError{code: exitUnusable, err: err}
 	}
@@ -39,7 +48,7 @@
 		counters.Add("platform-entries-unreadable", 1)
 		log.Warn("entry of the platform ignored", zap.String("key", key), zap.Error(err))
 	})
-	app, err := bbtapp.NewEdge(s, func() (bbtedge.Settings, error) { return platform.LoadBoot(c.Boot) }, source, platform.Dialect{}, pages, log, counters)
+	app, err := bbtapp.NewEdge(s, read, source, platform.Dialect{}, pages, log, counters)
 	if err != nil {
 		return err
 	}
--- a/io/bbtgateway/gateway_test.go
+++ b/io/bbtgateway/gateway_test.go
@@ -9,20 +9,20 @@
 
 func TestAnswerComesBackUnchanged(t *testing.T) {
 	w := newWorld(t, 1, func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("X-Response-Seal", "seal")
+		rw.Header().Set("Answer-Seal", "seal")
 		rw.Header().Set("X-Own", "kept")
 		rw.WriteHeader(http.StatusCreated)
 		_, _ = io.WriteString(rw, "body")
 	})
-	resp, body, err := w.send(http.MethodPost, "/once//a/%2Fb?x=1&y=/../z", "sent", "X-Tenant", "forged", "X-Hold", "1")
-	if err != nil || resp.StatusCode != http.StatusCreated || body != "body" || resp.Header.Get("X-Own") != "kept" || resp.Header.Get("X-Response-Seal") != "seal" {
+	resp, body, err := w.send(http.MethodPost, "/once//a/%2Fb?x=1&y=/../z", "sent", "Account-Name", "forged", "Reserved", "1")
+	if err != nil || resp.StatusCode != http.StatusCreated || body != "body" || resp.Header.Get("X-Own") != "kept" || resp.Header.Get("Answer-Seal") != "seal" {
 		t.Fatalf("got %v %q, %v", resp, body, err)
 	}
 	r := w.requests[0]
 	if r.RequestURI != "/once//a/%2Fb?x=1&y=/../z" || r.Host != "h.example" || w.bodies[0] != "sent" || r.Method != http.MethodPost {
 		t.Errorf("got %s %s at %s with %q", r.Method, r.RequestURI, r.Host, w.bodies[0])
 	}
-	for name, want := range map[string]string{"X-Tenant": "salons", "X-Expect-Instance": "i-0", "X-Request-Id": "id-1", "Api-Key": "", "X-Hold": "", "User-Agent": "Go-http-client/1.1"} {
+	for name, want := range map[string]string{"Account-Name": "salons", "Wanted-Endpoint": "i-0", "Call-Id": "id-1", "Account-Key": "", "Reserved": "", "User-Agent": "Go-http-client/1.1"} {
 		if got := r.Header.Get(name); got != want {
 			t.Errorf("%s: got %q, want %q", name, got, want)
 		}
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Api-Key", "key")
+	req.Header.Set("Account-Key", "key")
 	resp, err := w.front.Client().Do(req)
 	if err != nil || resp.StatusCode != 200 {
 		t.Fatalf("got %v, %v", resp, err)
@@ -56,10 +56,10 @@
 	}{
 		"unknown path":  {"/none/", "", nil, 404},
 		"no prefix":     {"/once", "", nil, 404},
-		"unknown key":   {"/once/", "", []string{"Api-Key", "of others"}, 401},
+		"unknown key":   {"/once/", "", []string{"Account-Key", "of others"}, 401},
 		"large body":    {"/once/", strings.Repeat("x", 100_001), nil, 413},
 		"large headers": {"/once/", "", []string{"X-Large", strings.Repeat("x", 5000)}, 431},
-		"bad deadline":  {"/once/", "", []string{"X-Deadline-Ms", "soon"}, 400},
+		"bad deadline":  {"/once/", "", []string{"Left-Ms", "soon"}, 400},
 	} {
 		resp, _, err := w.send(http.MethodPost, c.target, c.body, c.headers...)
 		if err != nil || resp.StatusCode != c.want {
@@ -69,7 +69,7 @@
 	if got := w.reached(); got != 0 {
 		t.Errorf("got %d requests at endpoints, want none", got)
 	}
-	if resp, _, err := w.send(http.MethodGet, "/open/", "", "Api-Key", "of others"); err != nil || resp.StatusCode != 200 {
+	if resp, _, err := w.send(http.MethodGet, "/open/", "", "Account-Key", "of others"); err != nil || resp.StatusCode != 200 {
 		t.Errorf("public route: got %v, %v, want 200", resp, err)
 	}
 }
@@ -80,7 +80,7 @@
 	if err != nil || resp.StatusCode != 200 || body != "ok" {
 		t.Fatalf("got %v %q, %v", resp, body, err)
 	}
-	if a, b := w.requests[0].Header.Get("X-Expect-Instance"), w.requests[1].Header.Get("X-Expect-Instance"); a == b {
+	if a, b := w.requests[0].Header.Get("Wanted-Endpoint"), w.requests[1].Header.Get("Wanted-Endpoint"); a == b {
 		t.Errorf("got %s twice, want two endpoints", a)
 	}
 }
@@ -88,7 +88,7 @@
 func TestRequestThatNobodyRunsIsRefusedAsNotRun(t *testing.T) {
 	w := newWorld(t, 3, notRun)
 	resp, _, err := w.send(http.MethodPost, "/once/", "")
-	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("X-Response-Seal") != "" {
+	if err != nil || resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" || resp.Header.Get("Answer-Seal") != "" {
 		t.Errorf("got %v, %v, want 503 that says when to come again", resp, err)
 	}
 	if got := w.reached(); got != 2 {
@@ -100,7 +100,7 @@
 	for name, s := range map[string]http.HandlerFunc{
 		"reset":     broken(""),
 		"no answer": broken("nonsense\r\n\r\n"),
-		"cut":       broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
+		"cut":       broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
 	} {
 		w := newWorld(t, 2, s, sealed(200, "ok"))
 		resp, body, err := w.send(http.MethodPost, "/once/", "")
@@ -117,12 +117,12 @@
 	for name, s := range map[string]http.HandlerFunc{
 		"reset":         broken(""),
 		"no answer":     broken("nonsense\r\n\r\n"),
-		"cut":           broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
+		"cut":           broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Length: 100\r\n\r\nshort"),
 		"failure":       sealed(500, "failed"),
 		"no seal":       func(rw http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(rw, "forged") },
-		"of another":    broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: other\r\nContent-Length: 2\r\n\r\nno"),
-		"encoded":       broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"),
-		"reset in body": broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"),
+		"of another":    broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nCall-Id: other\r\nContent-Length: 2\r\n\r\nno"),
+		"encoded":       broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nContent-Encoding: gzip\r\nContent-Length: 2\r\n\r\nno"),
+		"reset in body": broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"),
 	} {
 		w := newWorld(t, 2, s, sealed(200, "ok"))
 		resp, body, err := w.send(http.MethodGet, "/again/", "")
@@ -135,7 +135,7 @@
 func TestEndpointsOwnFailureIsTheAnswerInTheEnd(t *testing.T) {
 	w := newWorld(t, 2, sealed(500, "failed"))
 	resp, body, err := w.send(http.MethodGet, "/again/", "")
-	if err != nil || resp.StatusCode != 500 || body != "failed" || resp.Header.Get("X-Response-Seal") != "seal" {
+	if err != nil || resp.StatusCode != 500 || body != "failed" || resp.Header.Get("Answer-Seal") != "seal" {
 		t.Errorf("got %v %q, %v, want the endpoint's own 500", resp, body, err)
 	}
 	if got := w.reached(); got != 2 {
@@ -145,14 +145,14 @@
 
 func TestEndpointsOwnFailureIsTheAnswerIfNobodyElseIsLeft(t *testing.T) {
 	w := newWorld(t, 1, sealed(500, "failed"))
-	resp, body, err := w.send(http.MethodGet, "/again/", "", "X-Deadline-Ms", "300")
+	resp, body, err := w.send(http.MethodGet, "/again/", "", "Left-Ms", "300")
 	if err != nil || resp.StatusCode != 500 || body != "failed" {
 		t.Errorf("got %v %q, %v, want the endpoint's own 500", resp, body, err)
 	}
 }
 
 func TestAnswerWithoutALengthIsWholeAtItsEnd(t *testing.T) {
-	w := newWorld(t, 1, broken("HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: id-1\r\n\r\nall of it"))
+	w := newWorld(t, 1, broken("HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nCall-Id: id-1\r\n\r\nall of it"))
 	resp, body, err := w.send(http.MethodPost, "/once/", "")
 	if err != nil || resp.StatusCode != 200 || body != "all of it" {
 		t.Errorf("got %v %q, %v", resp, body, err)
@@ -160,7 +160,7 @@
 }
 
 func TestBytesBehindAnAnswerGoToNobody(t *testing.T) {
-	extra := "HTTP/1.1 200 OK\r\nX-Response-Seal: s\r\nX-Request-Id: id-1\r\nContent-Length: 2\r\n\r\nok"
+	extra := "HTTP/1.1 200 OK\r\nAnswer-Seal: s\r\nCall-Id: id-1\r\nContent-Length: 2\r\n\r\nok"
 	w := newWorld(t, 1, broken(extra+extra), sealed(200, "second"))
 	for _, want := range []string{"ok", "second"} {
 		if _, body, err := w.send(http.MethodPost, "/once/", ""); err != nil || body != want {
--- a/io/bbtgateway/stream_test.go
+++ b/io/bbtgateway/stream_test.go
@@ -14,8 +14,8 @@
 	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\nid: 4\ndata: d\n\n"; err != nil || resp.StatusCode != 200 || body != want {
 		t.Errorf("got %v %q, %v, want each event once", resp, body, err)
 	}
-	if got := w.requests[1].Header.Get("Last-Event-Id"); got != "2" {
-		t.Errorf("got Last-Event-Id %q, want 2", got)
+	if got := w.requests[1].Header.Get("Last-Event"); got != "2" {
+		t.Errorf("got Last-Event %q, want 2", got)
 	}
 }
 
@@ -35,7 +35,7 @@
 
 func TestSilentEndpointIsAwaitedIfNothingMayBeRepeated(t *testing.T) {
 	w := newWorld(t, 2, silent("id: 1\ndata: a\n\n"), sealed(200, "id: 2\ndata: b\n\n"))
-	_, body, err := w.send(http.MethodPost, "/stream/", "", "X-Deadline-Ms", "700")
+	_, body, err := w.send(http.MethodPost, "/stream/", "", "Left-Ms", "700")
 	if err == nil || body != "id: 1\ndata: a\n\n" || w.reached() != 1 {
 		t.Errorf("got %q, %v and %d runs, want it cut at the deadline after one run", body, err, w.reached())
 	}
@@ -62,18 +62,18 @@
 
 func TestStreamOfTheCallersOwnResume(t *testing.T) {
 	w := newWorld(t, 1, sealed(200, "id: 13\ndata: m\n\n"))
-	if _, body, err := w.send(http.MethodPost, "/resume/", "", "Last-Event-Id", "12"); err != nil || body != "id: 13\ndata: m\n\n" {
+	if _, body, err := w.send(http.MethodPost, "/resume/", "", "Last-Event", "12"); err != nil || body != "id: 13\ndata: m\n\n" {
 		t.Errorf("got %q, %v", body, err)
 	}
-	if got := w.requests[0].Header.Get("Last-Event-Id"); got != "12" {
-		t.Errorf("got Last-Event-Id %q, want 12", got)
+	if got := w.requests[0].Header.Get("Last-Event"); got != "12" {
+		t.Errorf("got Last-Event %q, want 12", got)
 	}
 }
 
 func TestEventsArePassedOnAsTheyCome(t *testing.T) {
 	next := make(chan struct{})
 	w := newWorld(t, 1, func(rw http.ResponseWriter, _ *http.Request) {
-		rw.Header().Set("X-Response-Seal", "seal")
+		rw.Header().Set("Answer-Seal", "seal")
 		_, _ = io.WriteString(rw, "id: 1\ndata: a\n\n")
 		_ = http.NewResponseController(rw).Flush()
 		<-next
@@ -84,7 +84,7 @@
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("Api-Key", "key")
+	req.Header.Set("Account-Key", "key")
 	resp, err := w.front.Client().Do(req)
 	if err != nil {
 		t.Fatal(err)
@@ -114,7 +114,7 @@
 			t.Fatal(err)
 		}
 		req.Host = "h.example"
-		req.Header.Set("Api-Key", "key")
+		req.Header.Set("Account-Key", "key")
 		go func() {
 			<-began
 			cancel()
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -18,7 +18,6 @@
 	"bluebelltray/io/bbtgateway"
 	"bluebelltray/io/bbtmetric"
 	"bluebelltray/io/bbtpeer"
-	"bluebelltray/platform"
 )
 
 // noPeers is the peer side of a host that is alone.
@@ -104,7 +103,7 @@
 	e := bbtedge.New(bbtedge.Settings{Host: "10.0.0.1", Callers: "10.0.0.1:1", CallerPort: "1", First: true, Bounds: bounds},
 		published{u}, noPeers{make(chan bbtpeer.Inbound), make(chan bbtfleet.HostID)}, bbtedge.WithCounters(counters))
 	t.Cleanup(e.Close)
-	w.front = httptest.NewServer(bbtgateway.New(e, platform.Dialect{}, bbtgateway.WithCounters(counters)))
+	w.front = httptest.NewServer(bbtgateway.New(e, dialect{}, bbtgateway.WithCounters(counters)))
 	t.Cleanup(w.front.Close)
 	for !e.Ready() {
 		<-time.After(time.Millisecond)
@@ -120,7 +119,7 @@
 	w.requests = append(w.requests, r)
 	w.bodies = append(w.bodies, string(body))
 	w.mu.Unlock()
-	rw.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+	rw.Header().Set("Call-Id", r.Header.Get("Call-Id"))
 	part(rw, r)
 }
 
@@ -140,9 +139,9 @@
 		w.t.Fatal(err)
 	}
 	req.Host = "h.example"
-	req.Header.Set("X-Request-Id", "id-1")
-	req.Header.Set("Api-Key", "key")
-	req.Header.Set("X-Deadline-Ms", "8000")
+	req.Header.Set("Call-Id", "id-1")
+	req.Header.Set("Account-Key", "key")
+	req.Header.Set("Left-Ms", "8000")
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
@@ -158,7 +157,7 @@
 // sealed answers with a status, a seal and a body.
 func sealed(status int, body string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Response-Seal", "seal")
+		w.Header().Set("Answer-Seal", "seal")
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, body)
 	}
@@ -166,7 +165,7 @@
 
 // notRun answers that the request was not run.
 func notRun(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("X-Not-Executed", "1")
+	w.Header().Set("Not-Run", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -189,7 +188,7 @@
 // events answers with a part of a stream and cuts it off behind it.
 func events(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("X-Response-Seal", "seal")
+		w.Header().Set("Answer-Seal", "seal")
 		w.Header().Set("Content-Type", "text/event-stream")
 		_, _ = io.WriteString(w, text)
 		_ = http.NewResponseController(w).Flush()
@@ -201,7 +200,7 @@
 func silent(text string) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if text != "" {
-			w.Header().Set("X-Response-Seal", "seal")
+			w.Header().Set("Answer-Seal", "seal")
 			_, _ = io.WriteString(w, text)
 			_ = http.NewResponseController(w).Flush()
 		}
