bbtedge: watches end within the time to apply a change

Watches now last 1.2 times the time in which a change has to be in force, a quarter more or less, so that some host soon hears and its peers learn from it; 0.6 times where few hosts read. Before: version 2 for 5.7 s after version 6. Ruled out: the hosts' clocks and peers; no peer knew more.

--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -121,7 +121,7 @@
 	}
 	e.index.Store(bbtcatalog.NewIndex(nil))
 	e.addresses.Store(&[]string{s.Callers})
-	e.reader = &reader{edge: e, source: source}
+	e.reader = &reader{edge: e, source: source, apply: s.Bounds.ApplyTime}
 	for _, id := range s.Seeds {
 		e.hosts = append(e.hosts, e.settings.host(id))
 	}
--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,8 +12,14 @@
 )
 
 const (
-	watchWait    = 10 * time.Second // that the platform may hold a watch
-	shortWatch   = 2 * time.Second  // in a large fleet, whose other hosts need fresh views
+	// watchPart and shortPart are the parts of the time in which a change has to
+	// be in force for which the platform may hold a watch, the second one in a
+	// large fleet, where few hosts read. A watch may go silent for good, and only
+	// its end shows that.
+	watchPart    = 1.2
+	shortPart    = 0.6
+	watchSpread  = 0.25             // part of that by which watches differ, so that hosts' watches end at different times
+	watchDefault = 10 * time.Second // where no such time is stated
 	pauseLeast   = 100 * time.Millisecond
 	pauseMost    = time.Second
 	outageLeast  = time.Second            // without an answer, after which entries may have lapsed
@@ -24,6 +31,7 @@
 type reader struct {
 	edge   *Edge
 	source bluebelltray.Source
+	apply  time.Duration // in which a change has to be in force
 
 	mu       sync.Mutex
 	revision uint64    // known to the edge
@@ -99,10 +107,7 @@
 	ctx, cancel := context.WithCancel(r.edge.ctx)
 	defer cancel()
 	r.mu.Lock()
-	after, wait := r.revision, watchWait
-	if r.short {
-		wait = shortWatch
-	}
+	after, wait := r.revision, r.wait()
 	r.stop, r.begun = cancel, time.Now()
 	before := r.answered
 	r.mu.Unlock()
@@ -134,6 +139,19 @@
 	return nil
 }
 
+// wait returns how long the platform may hold the next watch.
+func (r *reader) wait() time.Duration {
+	if r.apply <= 0 {
+		return watchDefault
+	}
+	part := watchPart
+	if r.short {
+		part = shortPart
+	}
+	spread := 1 + watchSpread*(2*rand.Float64()-1)
+	return time.Duration(part * spread * float64(r.apply))
+}
+
 // note records an answer and reports whether the one before was so long before
 // the call that entries may have lapsed meanwhile.
 func (r *reader) note(before, began time.Time) bool {
