--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -23,7 +23,6 @@
 type call struct {
 	id         bbtschedule.RequestID
 	submission Submission
-	arrived    time.Time
 	attempt    int // number of the dispatch that is asked for or under way
 	sent       int // dispatches that reached an endpoint
 	tried      []string
@@ -43,7 +42,6 @@
 	r.ID, r.Attempt = c.id, c.attempt
 	r.Left = c.left(now)
 	r.Objective = c.submission.Due.Sub(now)
-	r.Waited = now.Sub(c.arrived)
 	r.Exclude = c.tried
 	r.Repeat = c.sent > 0
 	return r
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -51,7 +51,7 @@
 // Submit takes a request on.
 func (e *Entry) Submit(now time.Time, s Submission) (bbtschedule.RequestID, []Action) {
 	e.last++
-	c := &call{id: e.last, submission: s, arrived: now}
+	c := &call{id: e.last, submission: s}
 	e.calls[c.id] = c
 	return c.id, e.register(now, c)
 }
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -25,7 +25,6 @@
 	Repeat    bool          `cbor:"13,keyasint,omitempty"` // an endpoint was sent the request before
 	Exclude   []string      `cbor:"14,keyasint,omitempty"` // endpoints not to be used
 	Print     uint64        `cbor:"15,keyasint,omitempty"` // fingerprint of the request
-	Waited    time.Duration `cbor:"16,keyasint,omitempty"` // since the host has read the request
 	Aim       time.Duration `cbor:"17,keyasint,omitempty"` // the whole latency objective
 	Hint      int           `cbor:"19,keyasint,omitempty"` // output tokens that the caller expects; 0 if it says nothing
 	Zone      string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that took it
@@ -103,7 +102,6 @@
 	Outcome Outcome       `cbor:"3,keyasint,omitempty"`
 	Events  int           `cbor:"4,keyasint,omitempty"`
 	Span    time.Duration `cbor:"5,keyasint,omitempty"` // from the first event to the last
-	Other   bool          `cbor:"6,keyasint,omitempty"` // another incarnation has the endpoint's address
 }
 
 // Takeover tells a new owner what runs and what was spent under the former one.
--- a/dialect.go
+++ b/dialect.go
@@ -53,6 +53,5 @@
 type Reply struct {
 	ID     string // of the request that it answers
 	NotRun bool   // the endpoint did not run the request
-	Other  bool   // another incarnation has the address
 	Sealed bool   // the answer has the endpoint's seal
 }
--- a/io/bbtedge/settings.go
+++ b/io/bbtedge/settings.go
@@ -24,7 +24,6 @@
 	PeerPort   int    // UDP port between hosts, the same on all of them
 	Seeds      []bbtfleet.HostID
 	Platform   string // IP:port
-	Memory     int64  // bytes that the process may use
 	First      bool   // the whole fleet starts for the first time
 	Bounds     bbtcatalog.Bounds
 }
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -39,7 +39,7 @@
 	if outcome != bbtschedule.Unreachable && outcome != bbtschedule.Rejected {
 		x.ran = true
 	}
-	d := bbtschedule.Done{Outcome: outcome, Events: a.events, Other: a.reply.Other}
+	d := bbtschedule.Done{Outcome: outcome, Events: a.events}
 	if a.events > 1 {
 		d.Span = a.last.Sub(a.first)
 	}
--- a/io/bbtlog/ring.go
+++ b/io/bbtlog/ring.go
@@ -20,7 +20,7 @@
 	writePeriod = 100 * time.Millisecond
 )
 
-// line is one log line with its rank.
+// line is one log line.
 type line struct{ text []byte }
 
 // Ring is a zapcore.Core whose lines a goroutine writes. When it is full,
