--- /dev/null
+++ b/io/bbtedge/world_test.go
@@ -0,0 +1,198 @@
+package bbtedge
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"bluebelltray"
+	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtschedule"
+	"bluebelltray/io/bbtmetric"
+	"bluebelltray/io/bbtpeer"
+	"github.com/cockroachdb/errors"
+)
+
+// network joins edges of one test. Messages arrive at once and are encoded on
+// the way.
+type network struct {
+	mu    sync.Mutex
+	codec *bbtpeer.Codec
+	nodes map[bbtfleet.HostID]*node
+	cut   map[bbtfleet.HostID]bool // hosts that reach no other
+}
+
+// node is one edge's end of the network.
+type node struct {
+	network *network
+	id      bbtfleet.HostID
+	out     chan bbtpeer.Inbound
+}
+
+func newNetwork(t *testing.T) *network {
+	t.Helper()
+	codec, err := NewCodec()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), cut: make(map[bbtfleet.HostID]bool)}
+}
+
+func (n *node) SetHosts([]bbtfleet.Host)      {}
+func (n *node) Reset(bbtfleet.HostID)         {}
+func (n *node) Inbox() <-chan bbtpeer.Inbound { return n.out }
+func (n *node) Lost() <-chan bbtfleet.HostID  { return nil }
+
+// Close takes the edge off the network.
+func (n *node) Close() error {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	if n.network.nodes[n.id] == n {
+		delete(n.network.nodes, n.id)
+	}
+	return nil
+}
+
+// Send delivers a message unless either end is cut off.
+func (n *node) Send(to bbtfleet.HostID, msg any) bool {
+	data, err := n.network.codec.Encode(msg)
+	if err != nil {
+		return false
+	}
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	target := n.network.nodes[to]
+	if target == nil || n.network.cut[n.id] || n.network.cut[to] {
+		return true
+	}
+	back, err := n.network.codec.Decode(data)
+	if err != nil {
+		return false
+	}
+	select {
+	case target.out <- bbtpeer.NewInbound(n.id, back):
+		return true
+	default:
+		return false
+	}
+}
+
+// setCut cuts a host off, or joins it again.
+func (w *network) setCut(id bbtfleet.HostID, cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut[id] = cut
+}
+
+// store is a source that may be down, and whose content may change.
+type store struct {
+	mu      sync.Mutex
+	down    bool
+	deaf    bool // watches that wait hear of no change, and find the history gone at their end
+	update  bbtcatalog.Update
+	changed chan struct{}
+}
+
+func newStore(version int64) *store {
+	s := &store{changed: make(chan struct{})}
+	s.publish(version)
+	return s
+}
+
+// publish puts another version of the configuration in force.
+func (s *store) publish(version int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cfg := &bbtcatalog.Config{Version: version, Services: []bbtcatalog.Service{{Name: "plain"}}}
+	rev := s.update.Revision + 1
+	s.update = bbtcatalog.Update{Revision: rev, Whole: true, Changes: []bbtcatalog.Change{
+		{Revision: rev, Config: cfg},
+		{Revision: 1, Endpoint: &bbtcatalog.Endpoint{ID: "i-0", Service: "plain", Address: "10.1.0.1:80", Slots: 16}},
+	}}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) Load(context.Context) (bbtcatalog.Update, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return bbtcatalog.Update{}, errors.New("store is down")
+	}
+	return s.update, nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error) {
+	s.mu.Lock()
+	u, changed, down := s.update, s.changed, s.down
+	s.mu.Unlock()
+	if down {
+		return bbtcatalog.Update{}, errors.New("store is down")
+	}
+	if u.Revision > after {
+		u.Whole = false
+		return u, nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+		s.mu.Lock()
+		deaf := s.deaf
+		s.mu.Unlock()
+		if !deaf {
+			return s.Watch(ctx, after, wait)
+		}
+		<-timer.C
+		return bbtcatalog.Update{}, bluebelltray.ErrHistoryGone
+	case <-timer.C:
+		return bbtcatalog.Update{Revision: u.Revision}, nil
+	case <-ctx.Done():
+		return bbtcatalog.Update{}, ctx.Err()
+	}
+}
+
+// join starts an edge that knows the seeds.
+func (w *network) join(id bbtfleet.HostID, s *store, seeds ...bbtfleet.HostID) *Edge {
+	n := &node{network: w, id: id, out: make(chan bbtpeer.Inbound, 1024)}
+	w.mu.Lock()
+	w.nodes[id] = n
+	w.mu.Unlock()
+	settings := Settings{
+		Host: id, Callers: string(id) + ":1", CallerPort: "1", PeerPort: 2, Seeds: seeds, First: true,
+		Bounds: bbtcatalog.Bounds{ApplyTime: 2 * time.Second, RateWindow: 8 * time.Second, RateOver: 0.25, RetryWindow: 10 * time.Second, RetryRatio: 0.2, RetrySlack: 50, Lifetime: 5 * time.Second},
+	}
+	e := New(settings, s, n, WithCounters(bbtmetric.New()))
+	time.Sleep(10 * time.Millisecond) // virtual; edges do not start at the same moment
+	return e
+}
+
+// closeAll ends edges.
+func closeAll(edges ...*Edge) {
+	for _, e := range edges {
+		e.Close()
+	}
+}
+
+// submission returns a plain request.
+func submission(now time.Time) bbtentry.Submission {
+	return bbtentry.Submission{
+		Registration: bbtschedule.Registration{Service: "plain", Aim: time.Second},
+		Attempts:     2, Deadline: now.Add(5 * time.Second), Due: now.Add(time.Second),
+	}
+}
+
+// permitted submits a request and returns how long its permit took.
+func permitted(t *testing.T, e *Edge) time.Duration {
+	t.Helper()
+	began := time.Now()
+	f := e.Submit(submission(began))
+	if _, err := f.Next(t.Context()); err != nil {
+		t.Fatalf("%s: got %v, want a permit", e.settings.Host, err)
+	}
+	f.Ended(bbtschedule.Done{Outcome: bbtschedule.Finished}, false)
+	return time.Since(began)
+}
