bbtgateway, bbtedge: kept connections for repeatable requests; changes gather between calls

Change: requests that may be repeated go over kept connections (2 an endpoint, 4 s idle); those that run at most once never do. Over a kept connection an answer that names no request is foreign. After a watch that brought changes a host waits a tenth of the time to apply them. A dispatch whose caller leaves before there is a connection has not run, and dispatches that reached nobody no longer use up a repeat. Mutations run and seen to fail: no check of the name on kept connections; kept connections for all; no outcome of its own before a connection; no gathering.

--- a/io/bbtedge/fleet_test.go
+++ b/io/bbtedge/fleet_test.go
@@ -70,6 +70,31 @@
 	})
 }
 
+// Pattern: changes in quick succession. Each call to the platform brings all
+// that gathered since the one before.
+func TestChangesInQuickSuccessionCostFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const changes, every = 50, 20 * time.Millisecond
+		w, s := newNetwork(t), newStore(1)
+		e := w.join("a", s)
+		defer e.Close()
+		time.Sleep(3 * time.Second)
+		before := reads([]*Edge{e})
+		for i := range changes {
+			s.publish(int64(2 + i))
+			time.Sleep(every)
+		}
+		gather := time.Duration(gatherPart * float64(e.settings.Bounds.ApplyTime))
+		if got, most := reads([]*Edge{e})-before, int64(changes*every/gather)+2; got > most {
+			t.Errorf("got %d calls for %d changes, want at most %d", got, changes, most)
+		}
+		time.Sleep(gather)
+		if got := e.Index().Version(); got != changes+1 {
+			t.Errorf("got version %d in force, want %d", got, changes+1)
+		}
+	})
+}
+
 // Pattern: a large fleet before a store that prices calls. A few hosts read; the
 // others know of their freshness through peers and do not.
 func TestFewHostsOfALargeFleetRead(t *testing.T) {
--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -20,6 +20,9 @@
 	shortPart    = 0.6
 	watchSpread  = 0.25             // part of that by which watches differ, so that hosts' watches end at different times
 	watchDefault = 10 * time.Second // where no such time is stated
+	// gatherPart is the part of that time for which changes gather after a watch
+	// has brought some, since the platform is paid for by the call.
+	gatherPart   = 0.1
 	pauseLeast   = 100 * time.Millisecond
 	pauseMost    = time.Second
 	outageLeast  = time.Second            // without an answer, after which entries may have lapsed
@@ -136,6 +139,9 @@
 	r.mu.Lock()
 	r.revision = max(r.revision, u.Revision)
 	r.mu.Unlock()
+	if len(u.Changes) > 0 {
+		r.sleep(time.Duration(gatherPart * float64(r.apply)))
+	}
 	return nil
 }
 
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"iter"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -27,6 +26,7 @@
 	dispatch bbtentry.Dispatch
 	reply    bluebelltray.Reply
 	silence  *silence
+	link     link
 	events   int
 	first    time.Time // of the first event
 	last     time.Time // of the last one
@@ -36,8 +36,9 @@
 func (a *answer) done(outcome bbtschedule.Outcome, again bool) bool {
 	x := a.exchange
 	x.story = append(x.story, a.dispatch.Endpoint+" "+outcome.String())
-	if outcome != bbtschedule.Unreachable && outcome != bbtschedule.Rejected {
+	if mayHaveRun(outcome) {
 		x.ran = true
+		x.offers++
 	}
 	d := bbtschedule.Done{Outcome: outcome, Events: a.events}
 	if a.events > 1 {
@@ -50,11 +51,16 @@
 	return again
 }
 
+// mayHaveRun reports whether a dispatch's endpoint may have run the request.
+func mayHaveRun(o bbtschedule.Outcome) bool {
+	return o != bbtschedule.Unreachable && o != bbtschedule.Rejected && o != bbtschedule.Unused
+}
+
 // lost ends a dispatch without the head of an answer.
 func (a *answer) lost(ctx context.Context, err error) bool {
 	x := a.exchange
-	outcome := a.outcomeOf(ctx, err)
-	again := outcome == bbtschedule.Unreachable || outcome != bbtschedule.Cancelled && x.route.Repeatable()
+	outcome := a.outcomeOf(ctx)
+	again := outcome == bbtschedule.Unreachable || outcome != bbtschedule.Cancelled && outcome != bbtschedule.Unused && x.route.Repeatable()
 	if a.done(outcome, again) {
 		return true
 	}
@@ -62,7 +68,7 @@
 	return false
 }
 
-// giveUp answers a request whose dispatch may have run.
+// giveUp answers a request that gets no other dispatch.
 func (x *exchange) giveUp(ctx context.Context, reason bbtverdict.Reason, err error) {
 	if x.r.Context().Err() != nil {
 		x.reason = string(bbtverdict.ReasonCancelled)
@@ -71,7 +77,11 @@
 	if ctx.Err() != nil {
 		reason = bbtverdict.ReasonTimeout
 	}
-	x.refuse(bbtverdict.New(bbtverdict.MayHaveRun, reason, bbtverdict.WithCause(err)))
+	verdict := bbtverdict.NotRun
+	if x.ran {
+		verdict = bbtverdict.MayHaveRun
+	}
+	x.refuse(bbtverdict.New(verdict, reason, bbtverdict.WithCause(err)))
 }
 
 // pass passes an answer on.
@@ -119,12 +129,13 @@
 
 // repeated reports whether the request has used its attempts, so that the
 // endpoint's own failure is the answer.
-func (x *exchange) repeated() bool { return len(x.story)+1 >= x.route.Attempts }
+func (x *exchange) repeated() bool { return x.offers+1 >= x.route.Attempts }
 
 // foreign reports whether an answer cannot be the endpoint's own to this
 // request.
 func (a *answer) foreign(resp *http.Response) bool {
-	if id := a.exchange.head.ID; id != "" && a.reply.ID != "" && a.reply.ID != id {
+	named := a.reply.ID != "" || a.link.reused.Load() // a late answer may come over a kept connection
+	if id := a.exchange.head.ID; id != "" && named && a.reply.ID != id {
 		return true
 	}
 	if resp.Header.Get("Content-Encoding") != "" {
@@ -152,7 +163,7 @@
 
 // cut ends a dispatch whose answer broke off before any of it was passed on.
 func (a *answer) cut(ctx context.Context, err error) bool {
-	outcome := a.outcomeOf(ctx, err)
+	outcome := a.outcomeOf(ctx)
 	if a.done(outcome, outcome != bbtschedule.Cancelled && a.exchange.route.Repeatable()) {
 		return true
 	}
@@ -201,13 +212,6 @@
 	x.w.WriteHeader(status)
 }
 
-// isConnectError reports whether no connection came about, so that nothing was
-// sent.
-func isConnectError(err error) bool {
-	var op *net.OpError
-	return errors.As(err, &op) && op.Op == "dial"
-}
-
 // splitList returns the elements of a comma-separated header value.
 func splitList(text string) iter.Seq[string] {
 	return func(yield func(string) bool) {
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -32,7 +32,8 @@
 	counters  *bbtmetric.Counters
 	latencies *bbtmetric.Latencies
 	log       *zap.Logger
-	transport *http.Transport
+	once      *http.Transport // for requests that run at most once
+	kept      *http.Transport // for those that may be repeated
 	active    atomic.Int64
 }
 
@@ -52,7 +53,7 @@
 func New(e *bbtedge.Edge, d bluebelltray.Dialect, opts ...Option) *Gateway {
 	g := &Gateway{
 		edge: e, dialect: d, counters: bbtmetric.New(), latencies: bbtmetric.NewLatencies(),
-		log: zap.NewNop(), transport: newTransport(),
+		log: zap.NewNop(), once: newTransport(), kept: newKeptTransport(),
 	}
 	for _, opt := range opts {
 		opt(g)
@@ -98,6 +99,7 @@
 	flight   *bbtedge.Flight
 	failed   *failure // an endpoint's own failure, until another one answers
 	ran      bool     // an endpoint may have run the request
+	offers   int      // endpoints that may have run it
 	answered bool     // the head of an answer has been sent to the caller
 	events   int      // passed on
 	lastID   string   // of the last event passed on
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -74,7 +74,7 @@
 	defer cancel()
 	a := &answer{exchange: x, dispatch: d, silence: x.watch(cancel)}
 	defer a.silence.stop()
-	resp, err := x.gateway.transport.RoundTrip(x.request(dctx, d))
+	resp, err := x.transport().RoundTrip(x.request(a.link.trace(dctx), d))
 	if err != nil {
 		return a.lost(ctx, err)
 	}
@@ -83,6 +83,14 @@
 	return a.pass(ctx, resp)
 }
 
+// transport returns what carries the request to endpoints.
+func (x *exchange) transport() *http.Transport {
+	if x.route.Repeatable() {
+		return x.gateway.kept
+	}
+	return x.gateway.once
+}
+
 // request returns the request for an endpoint.
 func (x *exchange) request(ctx context.Context, d bbtentry.Dispatch) *http.Request {
 	h := x.r.Header.Clone()
@@ -181,14 +189,16 @@
 }
 
 // outcomeOf returns the outcome of a dispatch whose answer is not whole.
-func (a *answer) outcomeOf(ctx context.Context, err error) bbtschedule.Outcome {
+func (a *answer) outcomeOf(ctx context.Context) bbtschedule.Outcome {
 	switch {
+	case ctx.Err() != nil && !a.link.open.Load():
+		return bbtschedule.Unused
 	case ctx.Err() != nil:
 		return bbtschedule.Cancelled
+	case !a.link.open.Load():
+		return bbtschedule.Unreachable
 	case a.silence.broke():
 		return bbtschedule.Silent
-	case isConnectError(err):
-		return bbtschedule.Unreachable
 	default:
 		return bbtschedule.Broken
 	}
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -55,7 +55,7 @@
 	if ctx.Err() != nil || !x.route.Resumable {
 		a.broken(ctx)
 	}
-	return a.done(a.outcomeOf(ctx, err), true)
+	return a.done(a.outcomeOf(ctx), true)
 }
 
 // emit passes whole events on.
--- a/io/bbtgateway/transport.go
+++ b/io/bbtgateway/transport.go
@@ -17,11 +17,25 @@
 	keepAliveIdle  = 2 * time.Second
 	keepAliveCount = 3
 	maxAnswerHead  = 64 << 10
+	// keptIdle is after how long without a request a kept connection is closed,
+	// and keptEach how many stay open to an endpoint. Endpoints bound how many
+	// connections they take from all hosts together.
+	keptIdle = 4 * time.Second
+	keptEach = 2
 )
 
 // newTransport returns a transport that opens a connection for each dispatch:
 // nothing is ever sent twice, and no byte of a former answer is read.
 func newTransport() *http.Transport {
+	t := newKeptTransport()
+	t.DisableKeepAlives = true
+	return t
+}
+
+// newKeptTransport returns a transport that keeps connections for requests that
+// may be repeated. A connection may go at the moment at which a request is sent
+// over it, and the request may have run then.
+func newKeptTransport() *http.Transport {
 	d := &net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: keepAlive(),
@@ -29,7 +43,8 @@
 	}
 	return &http.Transport{
 		DialContext:            d.DialContext,
-		DisableKeepAlives:      true,
+		MaxIdleConnsPerHost:    keptEach,
+		IdleConnTimeout:        keptIdle,
 		DisableCompression:     true,
 		MaxResponseHeaderBytes: maxAnswerHead,
 		ReadBufferSize:         8 << 10,
