cmd, bbtschedule, docs: status of a host on a platform with a store; counters and outcomes checked against the pages both ways

Cause: status read the other interface's page alone; the pages were checked for what code counts, not the code for what the pages say. Change: status prints what a host believes, at the owner queues, endpoints, repeats left and what accounts used, or the page as JSON; gauges for the owner's queue, permits and cold endpoints; every row of the table of counters must be in code, every outcome of a dispatch in the pages.

--- a/cmd/bluebelltray/docs_test.go
+++ b/cmd/bluebelltray/docs_test.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"bluebelltray/core/bbtschedule"
 )
 
 const operatorsPage = "../../docs/OPERATORS.md"
@@ -52,6 +54,72 @@
 	}
 }
 
+// counterRow finds the names in the first column of the table of counters.
+var counterRow = regexp.MustCompile("`([a-z]+(?:-[a-z]+)*)(-[A-Z]+)?`")
+
+func TestCodeHasEveryCounterOfTheOperatorsPage(t *testing.T) {
+	_, table, found := strings.Cut(readFile(t, operatorsPage), "\n## Counters\n")
+	if !found {
+		t.Fatal("got no section on counters")
+	}
+	var code strings.Builder
+	for _, pattern := range []string{"../../io/*/*.go", "*.go"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				code.WriteString(readFile(t, file))
+			}
+		}
+	}
+	rows := 0
+	for line := range strings.Lines(table) {
+		if !strings.HasPrefix(line, "| ") {
+			continue
+		}
+		for _, m := range counterRow.FindAllStringSubmatch(strings.Split(line, "|")[1], -1) {
+			rows++
+			want := `"` + m[1] + `"`
+			if m[2] != "" {
+				want = `"` + m[1] + `-"` // the rest is the state or outcome
+			}
+			if !strings.Contains(code.String(), want) {
+				t.Errorf("got counter %s%s in docs/OPERATORS.md, not in code", m[1], m[2])
+			}
+		}
+	}
+	if rows == 0 {
+		t.Error("got no rows")
+	}
+}
+
+// outcomes are those after which a request may be sent again.
+var outcomes = []bbtschedule.Outcome{
+	bbtschedule.Rejected, bbtschedule.Unreachable, bbtschedule.Failed, bbtschedule.Broken, bbtschedule.Silent,
+}
+
+func TestPagesNameEveryOutcomeOfADispatch(t *testing.T) {
+	operations := readFile(t, "../../docs/OPERATIONS.md")
+	for o := bbtschedule.Finished; o <= bbtschedule.Silent; o++ {
+		if !strings.Contains(operations, "`"+o.String()+"`") {
+			t.Errorf("got no outcome %s in docs/OPERATIONS.md", o)
+		}
+	}
+	var row string
+	for line := range strings.Lines(readFile(t, operatorsPage)) {
+		if strings.HasPrefix(line, "| `dispatches-repeated-OUTCOME`") {
+			row = line
+		}
+	}
+	for _, o := range outcomes {
+		if !strings.Contains(row, "`"+o.String()+"`") {
+			t.Errorf("got no outcome %s in the row of repeats of docs/OPERATORS.md", o)
+		}
+	}
+}
+
 // counter finds the names of counters and gauges in code.
 var counter = regexp.MustCompile(`(?:ounters|ecorder|etrics)\.(?:Add|Set)\("([a-z-]+[a-z])"`)
 
--- a/cmd/bluebelltray/status.go
+++ b/cmd/bluebelltray/status.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"bluebelltray/io/bbtdaemon"
+	"bluebelltray/io/bbtedge"
 	"github.com/cockroachdb/errors"
 )
 
@@ -18,17 +19,23 @@
 
 // statusCmd shows a running host.
 type statusCmd struct {
-	Address  string `arg:"" help:"The host's caller address, as IP:port."`
+	Address  string `arg:"" help:"Where the host shows its status, as IP:port: its caller address, or its page for metrics on a platform with a store."`
 	Counters bool   `help:"Show the counters too."`
+	JSON     bool   `help:"Print the page as it is, in JSON."`
 }
 
 // Run reads the host's pages and prints them.
-func (c *statusCmd) Run() error {
-	var s bbtdaemon.Status
-	if err := readPage(c.Address, "/status", &s); err != nil {
+func (c *statusCmd) Run() error { return c.show(os.Stdout) }
+
+// show prints the host's pages.
+func (c *statusCmd) show(w io.Writer) error {
+	var page json.RawMessage
+	if err := readPage(c.Address, "/status", &page); err != nil {
+		return err
+	}
+	if err := c.print(w, page); err != nil {
 		return err
 	}
-	printStatus(os.Stdout, s)
 	if !c.Counters {
 		return nil
 	}
@@ -36,9 +43,37 @@
 	if err := readPage(c.Address, "/debug/vars", &vars); err != nil {
 		return err
 	}
-	enc := json.NewEncoder(os.Stdout)
+	return printJSON(w, vars)
+}
+
+// print prints a status page, of a host on a platform with a store or of one
+// without.
+func (c *statusCmd) print(w io.Writer, page json.RawMessage) error {
+	if c.JSON {
+		return printJSON(w, page)
+	}
+	var edge struct {
+		bbtedge.Status
+		Revision *uint64 `json:"platform-revision"` // hosts without a store have none
+	}
+	if err := json.Unmarshal(page, &edge); err == nil && edge.Revision != nil {
+		edge.Status.Revision = *edge.Revision
+		printEdgeStatus(w, edge.Status)
+		return nil
+	}
+	var s bbtdaemon.Status
+	if err := json.Unmarshal(page, &s); err != nil || s.Host == "" {
+		return errors.New("the page is no status of a host")
+	}
+	printStatus(w, s)
+	return nil
+}
+
+// printJSON prints a value in indented JSON.
+func printJSON(w io.Writer, v any) error {
+	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
-	return enc.Encode(vars)
+	return enc.Encode(v)
 }
 
 // printStatus prints the status as a table.
@@ -57,7 +92,7 @@
 	fmt.Fprintf(tw, "requests\t%d\n", s.Requests)
 	for _, o := range s.Owned {
 		fmt.Fprintf(tw, "owns\t%s\t%d of %d slots, %d permits out, %d foreign, room for %d%s\n",
-			o.Endpoint, o.Right, o.Slots, o.Outstanding, o.Foreign, o.Room, coldMark(o.Cold))
+			o.Endpoint, o.Right, o.Slots, o.Outstanding, o.Foreign, o.Room, markIf(o.Cold, ", cold"))
 	}
 	for _, q := range s.Queues {
 		fmt.Fprintf(tw, "queue\t%s\t%d waiting\n", q.Pool, q.Waiting)
@@ -67,14 +102,6 @@
 	}
 }
 
-// coldMark marks a cold endpoint.
-func coldMark(cold bool) string {
-	if cold {
-		return ", cold"
-	}
-	return ""
-}
-
 // readPage decodes one JSON page of a host.
 func readPage(addr, path string, v any) error {
 	c := http.Client{Timeout: statusTimeout}
--- a/core/bbtschedule/repeats.go
+++ b/core/bbtschedule/repeats.go
@@ -39,11 +39,16 @@
 
 // take counts a repeat and reports true unless the budget is spent.
 func (t *repeats) take(now time.Time, service string, share float64) bool {
-	again := t.meter(t.again, service)
-	requests := t.meter(t.requests, service).Sum(now)
-	if again.Sum(now)+1 > t.bounds.RetryRatio*requests+slackPart*share*t.bounds.RetrySlack {
+	if t.left(now, service, share) < 1 {
 		return false
 	}
-	again.Add(now, 0, 1)
+	t.meter(t.again, service).Add(now, 0, 1)
 	return true
 }
+
+// left returns how many repeats the budget allows now.
+func (t *repeats) left(now time.Time, service string, share float64) float64 {
+	requests := t.meter(t.requests, service).Sum(now)
+	budget := t.bounds.RetryRatio*requests + slackPart*share*t.bounds.RetrySlack
+	return budget - t.meter(t.again, service).Sum(now)
+}
--- a/core/bbtschedule/status.go
+++ b/core/bbtschedule/status.go
@@ -10,10 +10,31 @@
 type ServiceStatus struct {
 	Name      string           `json:"name"`
 	Waiting   int              `json:"waiting"`
-	PerSecond float64          `json:"per-second"` // permits that the service gives, or could give
+	PerSecond float64          `json:"per-second"`   // permits that the service gives, or could give
+	Repeats   float64          `json:"repeats-left"` // that the budget allows now
 	Endpoints []EndpointStatus `json:"endpoints"`
 }
 
+// Running returns how many requests run at the service's endpoints.
+func (st ServiceStatus) Running() int {
+	n := 0
+	for _, e := range st.Endpoints {
+		n += e.Running
+	}
+	return n
+}
+
+// Cold returns how many of the service's endpoints are cold.
+func (st ServiceStatus) Cold() int {
+	n := 0
+	for _, e := range st.Endpoints {
+		if e.Cold {
+			n++
+		}
+	}
+	return n
+}
+
 // EndpointStatus is what an owner knows of an endpoint.
 type EndpointStatus struct {
 	ID      string  `json:"id"`
@@ -35,7 +56,7 @@
 		if len(sv.endpoints) == 0 {
 			continue
 		}
-		st := ServiceStatus{Name: name, Waiting: len(sv.waiting), PerSecond: sv.perSecond(now)}
+		st := ServiceStatus{Name: name, Waiting: len(sv.waiting), PerSecond: sv.perSecond(now), Repeats: s.repeats.left(now, name, s.share)}
 		for _, e := range sv.endpoints {
 			st.Endpoints = append(st.Endpoints, e.status(now, s.slots))
 		}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -232,18 +232,26 @@
 		return
 	}
 	e.loadAt = now
-	e.gauge(now)
+	services := e.scheduler.Status(now)
+	e.gauge(now, services)
 	if e.entry.Owner() != e.settings.Host {
 		return
 	}
-	for _, st := range e.scheduler.Status(now) {
+	for _, st := range services {
 		e.log.Info("load", zap.String("service", st.Name), zap.Int("waiting", st.Waiting),
 			zap.Float64("per-second", st.PerSecond), zap.Float64("share", e.scheduler.Share()), zap.Any("endpoints", st.Endpoints))
 	}
 }
 
 // gauge sets the gauges.
-func (e *Edge) gauge(now time.Time) {
+func (e *Edge) gauge(now time.Time, services []bbtschedule.ServiceStatus) {
+	waiting, running, cold := 0, 0, 0
+	for _, st := range services {
+		waiting, running, cold = waiting+st.Waiting, running+st.Running(), cold+st.Cold()
+	}
+	e.counters.Set("requests-waiting", int64(waiting))
+	e.counters.Set("permits-out", int64(running))
+	e.counters.Set("endpoints-cold", int64(cold))
 	e.counters.Set("requests-in-hand", int64(e.entry.Len()))
 	e.counters.Set("platform-revision", int64(e.keeper.Revision()))
 	e.counters.Set("hosts-up", int64(len(*e.addresses.Load())))
