--- a/core/bbtschedule/meter.go
+++ b/core/bbtschedule/meter.go
@@ -1,6 +1,21 @@
 package bbtschedule
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// mostUnits bounds one count, so that a broken message cannot make a sum
+// infinite.
+const mostUnits = 1e12
+
+// units returns a count within its bounds, 0 for one that is no number.
+func units(n float64) float64 {
+	if math.IsNaN(n) {
+		return 0
+	}
+	return max(-mostUnits, min(n, mostUnits))
+}
 
 // meterSteps is in how many parts a window of time is counted. One more is
 // counted in, so that the window is never cut short.
@@ -36,7 +51,7 @@
 		return
 	}
 	i := (m.step - back) % int64(len(m.parts))
-	m.parts[i] = max(0, m.parts[i]+n)
+	m.parts[i] = max(0, m.parts[i]+units(n))
 }
 
 // Sum returns the use of the window up to now.
--- a/core/bbtschedule/rate.go
+++ b/core/bbtschedule/rate.go
@@ -108,7 +108,7 @@
 	s.toldAt = at
 	s.told = make(map[string]float64, len(deficits))
 	for _, d := range deficits {
-		s.told[d.Account] = d.Lacks
+		s.told[d.Account] = max(0, units(d.Lacks))
 	}
 }
 
