bbtlead, platform: hosts with more of a processor own the services

The one that had run longest owned, mostly a small one; an owner needs about 0.27. After the restart of all hosts its followers found it silent for over 0.4 s, passed it over for 1.5 s and came back, 64 times a second in all, for 15 seconds. Change: a process's incarnation carries the class of its host's processor share, which the settings file states; the owner is of the highest class, then the oldest. Mutations run and seen to fail: no classes; leaving hosts own.

--- a/core/bbtlead/lead.go
+++ b/core/bbtlead/lead.go
@@ -3,6 +3,7 @@
 package bbtlead
 
 import (
+	"cmp"
 	"time"
 
 	"bluebelltray/core/bbtfleet"
@@ -21,19 +22,20 @@
 	avoidTime = 1500 * time.Millisecond
 )
 
-// Host is a host that runs, with its incarnation: the smaller, the longer ago
-// its process began.
+// Host is a host that runs, with its incarnation as NewIncarnation makes it: the
+// smaller, the longer ago its process began.
 type Host struct {
 	ID          bbtfleet.HostID
 	Incarnation uint64
 }
 
-// before reports whether a host comes before another as an owner.
-func (h Host) before(other Host) bool {
-	if h.Incarnation != other.Incarnation {
-		return h.Incarnation < other.Incarnation
-	}
-	return h.ID < other.ID
+// compare orders hosts as owners: those with more of a processor first, since an
+// owner works for the whole fleet, then those that have run longest.
+func (h Host) compare(o Host) int {
+	return cmp.Or(
+		cmp.Compare(o.Incarnation&strengthMask, h.Incarnation&strengthMask),
+		cmp.Compare(h.Incarnation, o.Incarnation),
+		cmp.Compare(h.ID, o.ID))
 }
 
 // Lead is one host's view of who owns the services. It is not safe for
@@ -88,16 +90,13 @@
 // Owns reports whether this host is the owner.
 func (l *Lead) Owns() bool { return l.owner.ID == l.self.ID }
 
-// Choose chooses the owner: the host that has run longest of those that are up
-// and answer, this one itself only if it does not leave and nobody else is. It
-// reports whether that is another one than before.
+// Choose chooses the owner: the first of the hosts that are up and answer. One
+// that leaves owns only if nobody else can. It reports whether the owner is
+// another host than before.
 func (l *Lead) Choose(now time.Time, leaving bool) bool {
 	best := l.self
-	if leaving {
-		best.Incarnation = ^uint64(0)
-	}
 	for _, h := range l.up {
-		if !now.Before(l.avoid[h.ID]) && h.before(best) {
+		if !now.Before(l.avoid[h.ID]) && (leaving && best.ID == l.self.ID || h.compare(best) < 0) {
 			best = h
 		}
 	}
--- a/core/bbtlead/lead_test.go
+++ b/core/bbtlead/lead_test.go
@@ -17,7 +17,7 @@
 func hosts(ids ...bbtfleet.HostID) []Host {
 	var out []Host
 	for i, id := range ids {
-		out = append(out, Host{ID: id, Incarnation: uint64(10 * (i + 1))})
+		out = append(out, Host{ID: id, Incarnation: uint64(16 * (i + 1))})
 	}
 	return out
 }
@@ -40,12 +40,14 @@
 	}{
 		{"alone", nil, false, "b"},
 		{"older one up", hosts("a", "x", "c"), false, "a"},
-		{"younger ones up", []Host{{"c", 30}, {"d", 40}}, false, "b"},
-		{"same age", []Host{{"a", 20}}, false, "a"},
-		{"leaving, younger one up", []Host{{"c", 30}}, true, "c"},
+		{"younger ones up", []Host{{"c", 48}, {"d", 64}}, false, "b"},
+		{"same age", []Host{{"a", 32}}, false, "a"},
+		{"leaving, younger one up", []Host{{"c", 48}}, true, "c"},
 		{"leaving, alone", nil, true, "b"},
+		{"stronger one up, younger", []Host{{"c", 48 | 2}}, false, "c"},
+		{"weaker one up, older", []Host{{"a", 16}, {"c", 48 | 1}, {"d", 64 | 1}}, false, "c"},
 	} {
-		l := New(Host{"b", 20})
+		l := New(Host{"b", 32})
 		l.SetUp(start, c.up)
 		if changed := l.Choose(start, c.leaving); !changed || l.Owner().ID != c.want {
 			t.Errorf("%s: got owner %s, changed %t, want %s", c.name, l.Owner().ID, changed, c.want)
@@ -72,12 +74,12 @@
 
 func TestNewProcessOfTheOwnerIsAnotherOne(t *testing.T) {
 	l := newLead()
-	l.SetUp(start, []Host{{"a", 15}})
+	l.SetUp(start, []Host{{"a", 32}})
 	if l.Choose(start, false) {
 		t.Error("got another owner, want the same host")
 	}
-	if got := l.Owner().Incarnation; got != 15 {
-		t.Errorf("got incarnation %d, want that of the new process, 15", got)
+	if got := l.Owner().Incarnation; got != 32 {
+		t.Errorf("got incarnation %d, want that of the new process, 32", got)
 	}
 }
 
@@ -116,7 +118,7 @@
 }
 
 func TestHostThatKnowsNobodyUsesLittle(t *testing.T) {
-	l := New(Host{"b", 20})
+	l := New(Host{"b", 32})
 	l.Choose(start, false)
 	if got := l.Share(start, 0.25).Limits; got != aloneShare {
 		t.Errorf("got %v of the limits, want %v", got, aloneShare)
@@ -139,7 +141,7 @@
 	const others, apply = 40, 2 * time.Second
 	var older []Host
 	for i := range others {
-		older = append(older, Host{bbtfleet.HostID(rune('A' + i)), uint64(i + 1)})
+		older = append(older, Host{bbtfleet.HostID(rune('A' + i)), uint64(16 * (i + 1))})
 	}
 	for _, c := range []struct {
 		name   string
@@ -160,3 +162,20 @@
 		}
 	}
 }
+
+func TestIncarnationCarriesStrength(t *testing.T) {
+	var last uint64
+	for _, cores := range []float64{0, 0.192, 0.4, 0.8, 2, 64, 1e9} {
+		got := NewIncarnation(start, cores)
+		if got&strengthMask < last || got&^strengthMask != uint64(start.UnixMicro())&^strengthMask {
+			t.Errorf("%v cores: got %x, want the start and at least class %d", cores, got, last)
+		}
+		last = got & strengthMask
+	}
+	if a, b := NewIncarnation(start, 64), NewIncarnation(at(time.Millisecond), 0.1); a >= b {
+		t.Errorf("got %x after %x, want the later process to have the larger number", b, a)
+	}
+	if a, b := strength(0.4), strength(0.8); a == b {
+		t.Errorf("got class %d for 0.4 and for 0.8 cores, want different ones", a)
+	}
+}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -94,7 +94,7 @@
 // New returns an edge, which owns node from then on. Close ends both.
 func New(s Settings, source bluebelltray.Source, node peers, opts ...Option) *Edge {
 	now := time.Now()
-	incarnation := uint64(now.UnixMicro())
+	incarnation := bbtlead.NewIncarnation(now, s.Cores)
 	rng := rand.New(rand.NewPCG(incarnation, xxhash.Sum64String(string(s.Host))))
 	ctx, cancel := context.WithCancel(context.Background())
 	e := &Edge{
--- a/io/bbtedge/settings.go
+++ b/io/bbtedge/settings.go
@@ -23,8 +23,9 @@
 	Metrics    string // IP:port of the pages for operators; empty for none
 	PeerPort   int    // UDP port between hosts, the same on all of them
 	Seeds      []bbtfleet.HostID
-	Platform   string // IP:port
-	First      bool   // the whole fleet starts for the first time
+	Platform   string  // IP:port
+	First      bool    // the whole fleet starts for the first time
+	Cores      float64 // of a processor that the host has; 0 if unknown
 	Bounds     bbtcatalog.Bounds
 }
 
