bbtschedule, bbtedge: ended requests free their slots at owners of before; hosts of a large fleet meet with few connections

Change: what a host does not name in its takeover has ended; a run ends a second after its caller's time at the latest. Cause 2: each host that met another one, by hearsay too, told it of all others: 6,200 meetings and as many connections in the two seconds after the start. Change: hosts that were met directly are told at once; while hosts are met, one at random every half second. Mutations run and seen to fail: no reaping; takeovers end nothing; a takeover ends other hosts' runs; rosters to all; none at random.

--- a/core/bbtschedule/grant.go
+++ b/core/bbtschedule/grant.go
@@ -8,6 +8,7 @@
 
 // Tick does what is due by time alone.
 func (s *Scheduler) Tick(now time.Time) []Action {
+	s.reap(now)
 	out := s.grantAll(now)
 	for _, sv := range s.services {
 		for _, w := range sv.overdue(now) {
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -33,6 +33,23 @@
 	return s.grant(now, r.endpoint.service)
 }
 
+// endSpare is how long after its caller's time the end of a run may be told. A
+// host ends each request by then, so the message that told it was lost.
+const endSpare = time.Second
+
+// reap ends runs whose ends were never told.
+func (s *Scheduler) reap(now time.Time) {
+	if now.Sub(s.reapedAt) < endSpare {
+		return
+	}
+	s.reapedAt = now
+	for k, r := range s.runs {
+		if now.Sub(r.granted) > r.reg.Left+endSpare {
+			s.release(now, k)
+		}
+	}
+}
+
 // release ends a run of which its host has said no end.
 func (s *Scheduler) release(now time.Time, k key) {
 	if r := s.runs[k]; r != nil {
@@ -41,8 +58,19 @@
 	}
 }
 
-// TakeOver counts what runs and what was used under a former owner's permits.
+// TakeOver counts what runs and what was used under a former owner's permits. What
+// a host had running under this owner, before it followed another one for a
+// while, and does not name any more, has ended.
 func (s *Scheduler) TakeOver(now time.Time, from bbtfleet.HostID, t Takeover) {
+	runs := make(map[RequestID]bool, len(t.Running))
+	for _, it := range t.Running {
+		runs[it.Registration.ID] = true
+	}
+	for k := range s.runs {
+		if k.host == from && !runs[k.id] {
+			s.release(now, k)
+		}
+	}
 	for _, it := range t.Running {
 		e := s.byID[it.Endpoint]
 		k := key{from, it.Registration.ID}
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -48,6 +48,7 @@
 	repeats  repeats
 	suspects suspects
 	returns  returns
+	reapedAt time.Time // when runs without an end were looked for last
 
 	born       time.Time // when this process began
 	assumeUsed bool      // others may have used the limits before
--- a/core/bbtschedule/takeover_test.go
+++ b/core/bbtschedule/takeover_test.go
@@ -58,3 +58,31 @@
 		t.Errorf("got %d requests at once, want all 10 slots", granted)
 	}
 }
+
+// Pattern: a host follows another owner for a moment and comes back. What ended
+// meanwhile was told to the other one.
+func TestHostThatComesBackNamesWhatStillRuns(t *testing.T) {
+	s := newFleet(0, 1)
+	s.SetCatalog(start, s.index, listed("plain", 1, 2))
+	call := func(id RequestID) Registration {
+		return Registration{ID: id, Service: "plain", Left: 10 * time.Second, Objective: time.Second, Aim: time.Second}
+	}
+	for id := RequestID(1); id <= 2; id++ {
+		if got := len(permits(s.Register(start, "host", call(id)))); got != 1 {
+			t.Fatalf("got %d permits for request %d, want 1", got, id)
+		}
+	}
+	now := start.Add(time.Second)
+	s.TakeOver(now, "other", Takeover{})
+	if got := len(permits(s.Register(now, "other", call(1)))); got != 0 {
+		t.Errorf("got %d permits as another host had nothing running, want none", got)
+	}
+	s.Withdraw(now, "other", 1)
+	s.TakeOver(now, "host", Takeover{Running: []Running{{Registration: call(2), Endpoint: "plain-0", For: time.Second}}})
+	if got := len(permits(s.Register(now, "host", call(3)))); got != 1 {
+		t.Errorf("got %d permits, want the slot of the request that ended", got)
+	}
+	if got := len(permits(s.Register(now, "host", call(4)))); got != 0 {
+		t.Errorf("got %d permits, want none beside the one that still runs", got)
+	}
+}
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -70,6 +70,9 @@
 	hosts     []bbtfleet.Host               // without this one
 	fresh     map[bbtfleet.HostID]time.Time // when a peer's view was confirmed by the platform last
 	asked     time.Time                     // when a peer was asked for its catalog last
+	metAt     time.Time // when a host was met last that was not known
+	rosterAt  time.Time // when a host was told of all others last
+	rng       *rand.Rand
 	memberAt  time.Time
 	catalogAt time.Time
 	loadAt    time.Time
@@ -108,6 +111,7 @@
 		cancel:    cancel,
 		keeper:    bbtcatalog.NewKeeper(s.Bounds.Drain),
 		member:    bbtmember.New(s.Host, bbtfleet.Incarnation(incarnation), rng),
+		rng:       rng,
 		lead:      bbtlead.New(bbtlead.Host{ID: s.Host, Incarnation: incarnation}),
 		fresh:     make(map[bbtfleet.HostID]time.Time),
 		entry:     bbtentry.New(bbtschedule.RequestID(incarnation<<20), s.Bounds),
@@ -210,6 +214,7 @@
 func (e *Edge) tick(now time.Time) {
 	if now.Sub(e.memberAt) >= memberPeriod {
 		e.memberAt = now
+		e.tellRoster(now)
 		e.doMember(now, e.member.Tick(now, e.digest(now)))
 		e.follow(now)
 		e.locate()
--- a/io/bbtedge/fleet_test.go
+++ b/io/bbtedge/fleet_test.go
@@ -252,3 +252,36 @@
 		}
 	})
 }
+
+// Pattern: all hosts of a large fleet start at once, some of them with little of a
+// processor. They know of one another and agree on the owner soon, though each
+// opens connections to few.
+func TestLargeFleetAgreesSoonAfterAStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const hosts, most = 80, 30
+		w, s := newNetwork(t), newStore(1)
+		var edges []*Edge
+		for i := range hosts {
+			id := bbtfleet.HostID(fmt.Sprintf("10.0.0.%02d", i))
+			seeds := slices.DeleteFunc([]bbtfleet.HostID{"10.0.0.00", "10.0.0.01", "10.0.0.02"}, func(seed bbtfleet.HostID) bool { return seed == id })
+			edges = append(edges, w.join(id, s, seeds...))
+		}
+		time.Sleep(3 * time.Second)
+		closeAll(edges...)
+		pairs := 0
+		for _, to := range w.spoken {
+			pairs += len(to)
+		}
+		if got := pairs / hosts; got > most {
+			t.Errorf("got %d other hosts that a host spoke to, want at most %d of %d", got, most, hosts-1)
+		}
+		for _, e := range edges {
+			if got, want := e.lead.Owner().ID, edges[0].settings.Host; got != want {
+				t.Errorf("%s: got owner %s, want %s", e.settings.Host, got, want)
+			}
+			if list, _ := e.Addresses(); len(list) != hosts {
+				t.Errorf("%s: got %d addresses, want %d", e.settings.Host, len(list), hosts)
+			}
+		}
+	})
+}
--- a/io/bbtedge/fuzz_test.go
+++ b/io/bbtedge/fuzz_test.go
@@ -48,7 +48,7 @@
 		}
 		f.Add(data)
 	}
-	w, s := &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), cut: make(map[bbtfleet.HostID]bool)}, newStore(1)
+	w, s := &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), spoken: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool)}, newStore(1)
 	e := w.join("a", s)
 	e.Close()
 	e.peers = mutePeers{&node{network: w, id: "a"}}
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -10,6 +10,15 @@
 	"go.uber.org/zap"
 )
 
+const (
+	// rosterEvery is the time between tellings of all known hosts to one of them
+	// at random while new ones are met, and rosterFor how long that goes on after
+	// the last one. Changes that travel with probes are sent a few times only, and
+	// what is sent to a host that just starts may be lost.
+	rosterEvery = 500 * time.Millisecond
+	rosterFor   = 10 * time.Second
+)
+
 // setHosts gives the known hosts to the member and the peers.
 func (e *Edge) setHosts(now time.Time) {
 	e.peers.SetHosts(e.hosts)
@@ -49,11 +58,25 @@
 	e.hosts = append(e.hosts, e.settings.host(id))
 	e.setHosts(now)
 	e.doMember(now, e.member.Introduce(now, m.Change))
-	e.tell(id, Roster{e.member.Roster()})
+	if m.Direct {
+		e.tell(id, Roster{e.member.Roster()})
+	}
+	e.metAt = now
 	e.follow(now)
 	e.locate()
 }
 
+// tellRoster tells a host at random of all others.
+func (e *Edge) tellRoster(now time.Time) {
+	if now.Sub(e.metAt) > rosterFor || now.Sub(e.rosterAt) < rosterEvery {
+		return
+	}
+	if up := e.runs(); len(up) > 0 {
+		e.rosterAt = now
+		e.tell(up[e.rng.IntN(len(up))].ID, Roster{e.member.Roster()})
+	}
+}
+
 // hostChanged follows the suspicion, death or return of a host.
 func (e *Edge) hostChanged(now time.Time, c bbtmember.Changed) {
 	e.log.Info("host changed", zap.String("peer", string(c.Host)), zap.Stringer("state", c.State))
--- a/io/bbtedge/message.go
+++ b/io/bbtedge/message.go
@@ -10,7 +10,7 @@
 // The messages below travel between hosts. Their fields are exported because
 // the codec needs it.
 
-// Roster tells a host that has just been met of all others.
+// Roster tells a host of all others.
 type Roster struct {
 	Hosts []bbtmember.Change `cbor:"1,keyasint"`
 }
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -23,6 +23,8 @@
 	codec *bbtpeer.Codec
 	nodes map[bbtfleet.HostID]*node
 	cut   map[bbtfleet.HostID]bool // hosts that reach no other
+
+	spoken map[bbtfleet.HostID]map[bbtfleet.HostID]bool // who sent anything to whom
 }
 
 // node is one edge's end of the network.
@@ -38,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), cut: make(map[bbtfleet.HostID]bool)}
+	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), cut: make(map[bbtfleet.HostID]bool), spoken: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool)}
 }
 
 func (n *node) SetHosts([]bbtfleet.Host)      {}
@@ -64,6 +66,10 @@
 	}
 	n.network.mu.Lock()
 	defer n.network.mu.Unlock()
+	if n.network.spoken[n.id] == nil {
+		n.network.spoken[n.id] = make(map[bbtfleet.HostID]bool)
+	}
+	n.network.spoken[n.id][to] = true
 	target := n.network.nodes[to]
 	if target == nil || n.network.cut[n.id] || n.network.cut[to] {
 		return true
