--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -70,8 +70,8 @@
 	hosts     []bbtfleet.Host               // without this one
 	fresh     map[bbtfleet.HostID]time.Time // when a peer's view was confirmed by the platform last
 	asked     time.Time                     // when a peer was asked for its catalog last
-	metAt     time.Time // when a host was met last that was not known
-	rosterAt  time.Time // when a host was told of all others last
+	metAt     time.Time                     // when a host was met last that was not known
+	rosterAt  time.Time                     // when a host was told of all others last
 	rng       *rand.Rand
 	memberAt  time.Time
 	catalogAt time.Time
--- a/io/bbtedge/fleet_test.go
+++ b/io/bbtedge/fleet_test.go
@@ -285,3 +285,18 @@
 		}
 	})
 }
+
+// A roster's place in a host's control traffic, 4 KB/s, is the same in every
+// fleet.
+func TestRostersKeepTheBudgetOfTraffic(t *testing.T) {
+	const budget, hostBytes = 4000, 25
+	for _, hosts := range []int{1, 8, 80, 400, 4000} {
+		wait := rosterWait(hosts)
+		if got := float64(hosts*hostBytes) / wait.Seconds(); got > budget/2 {
+			t.Errorf("%d hosts: got %.0f bytes/s, want at most half of %d", hosts, got, budget)
+		}
+		if wait < rosterEvery {
+			t.Errorf("%d hosts: got a roster each %v, want %v at least", hosts, wait, rosterEvery)
+		}
+	}
+}
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -17,8 +17,17 @@
 	// what is sent to a host that just starts may be lost.
 	rosterEvery = 500 * time.Millisecond
 	rosterFor   = 10 * time.Second
+	// rosterBytes is what one host takes in a roster, and rosterRate what rosters
+	// may take of a host's traffic in bytes/s: half of what control may.
+	rosterBytes = 25
+	rosterRate  = 2000
 )
 
+// rosterWait returns the time between tellings of so many hosts.
+func rosterWait(hosts int) time.Duration {
+	return max(rosterEvery, time.Duration(hosts)*rosterBytes*time.Second/rosterRate)
+}
+
 // setHosts gives the known hosts to the member and the peers.
 func (e *Edge) setHosts(now time.Time) {
 	e.peers.SetHosts(e.hosts)
@@ -68,7 +77,7 @@
 
 // tellRoster tells a host at random of all others.
 func (e *Edge) tellRoster(now time.Time) {
-	if now.Sub(e.metAt) > rosterFor || now.Sub(e.rosterAt) < rosterEvery {
+	if now.Sub(e.metAt) > rosterFor || now.Sub(e.rosterAt) < rosterWait(len(e.hosts)) {
 		return
 	}
 	if up := e.runs(); len(up) > 0 {
