--- a/core/bbtschedule/takeover_test.go
+++ b/core/bbtschedule/takeover_test.go
@@ -86,3 +86,26 @@
 		t.Errorf("got %d permits, want none beside the one that still runs", got)
 	}
 }
+
+// Pattern: the message that tells the end of a request is lost, as its host just
+// changes its owner. The slot is free once the caller's time is over.
+func TestRunWhoseEndIsNeverToldFreesItsSlot(t *testing.T) {
+	s := newFleet(0, 1)
+	s.SetCatalog(start, s.index, listed("plain", 1, 1))
+	call := Registration{ID: 1, Service: "plain", Left: 1500 * time.Millisecond, Objective: time.Second, Aim: time.Second}
+	if got := permits(s.Register(start, "host", call)); len(got) != 1 {
+		t.Fatalf("got %d permits, want 1", len(got))
+	}
+	for _, c := range []struct {
+		after time.Duration
+		want  int
+	}{{call.Left, 0}, {call.Left + 2*endSpare, 1}} {
+		now := start.Add(c.after)
+		s.Tick(now)
+		call.ID++
+		if got := permits(s.Register(now, "other", call)); len(got) != c.want {
+			t.Errorf("%v after the permit: got %d permits for another request, want %d", c.after, len(got), c.want)
+		}
+		s.Withdraw(now, "other", call.ID)
+	}
+}
--- a/io/bbtedge/membership.go
+++ b/io/bbtedge/membership.go
@@ -80,7 +80,7 @@
 	if now.Sub(e.metAt) > rosterFor || now.Sub(e.rosterAt) < rosterWait(len(e.hosts)) {
 		return
 	}
-	if up := e.runs(); len(up) > 0 {
+	if up := e.upHosts(); len(up) > 0 {
 		e.rosterAt = now
 		e.tell(up[e.rng.IntN(len(up))].ID, Roster{e.member.Roster()})
 	}
@@ -106,8 +106,8 @@
 	return e.member.State(id) < bbtmember.Leaving && e.member.Incarnation(id) != 0
 }
 
-// runs returns the other hosts that are up.
-func (e *Edge) runs() []bbtlead.Host {
+// upHosts returns the other hosts that are up.
+func (e *Edge) upHosts() []bbtlead.Host {
 	var up []bbtlead.Host
 	for _, h := range e.hosts {
 		if id := h.ID(); e.up(id) {
@@ -119,7 +119,7 @@
 
 // follow chooses the owner anew.
 func (e *Edge) follow(now time.Time) {
-	e.lead.SetUp(now, e.runs())
+	e.lead.SetUp(now, e.upHosts())
 	before := e.lead.Owner().ID
 	if !e.lead.Choose(now, e.leaving.Load()) {
 		return
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -37,7 +37,6 @@
 	x := a.exchange
 	x.story = append(x.story, a.dispatch.Endpoint+" "+outcome.String())
 	if mayHaveRun(outcome) {
-		x.ran = true
 		x.offers++
 	}
 	d := bbtschedule.Done{Outcome: outcome, Events: a.events}
@@ -78,7 +77,7 @@
 		reason = bbtverdict.ReasonTimeout
 	}
 	verdict := bbtverdict.NotRun
-	if x.ran {
+	if x.offers > 0 {
 		verdict = bbtverdict.MayHaveRun
 	}
 	x.refuse(bbtverdict.New(verdict, reason, bbtverdict.WithCause(err)))
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -98,7 +98,6 @@
 
 	flight   *bbtedge.Flight
 	failed   *failure // an endpoint's own failure, until another one answers
-	ran      bool     // an endpoint may have run the request
 	offers   int      // endpoints that may have run it
 	answered bool     // the head of an answer has been sent to the caller
 	events   int      // passed on
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -48,7 +48,7 @@
 		e = bbtverdict.New(bbtverdict.NotRun, bbtverdict.ReasonTimeout)
 	}
 	switch {
-	case x.ran:
+	case x.offers > 0:
 		e = bbtverdict.New(bbtverdict.MayHaveRun, e.Reason())
 	case e.RetryAfter() == 0 && e.Reason() != bbtverdict.ReasonSuspect:
 		e = bbtverdict.New(e.Verdict(), e.Reason(), bbtverdict.WithRetryAfter(notRunReturn))
