bbtgateway: tell apart why answers are broken off

Callers who got a part of an answer saw its end; the request's line and the counter called each such end answer-incomplete, whether the endpoint broke off, the caller left, or the gateway itself ended the answer at a deadline.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -264,13 +264,16 @@
 // closes the caller's connection, so that the caller detects the truncation.
 func (a *attempt) abort(ctx context.Context) {
 	x := a.exchange
-	outcome := bbtschedule.ConnectionLost
-	if ctx.Err() != nil {
-		outcome = bbtschedule.Cancelled
+	outcome, reason := bbtschedule.ConnectionLost, bbtverdict.ReasonResponseIncomplete
+	switch {
+	case x.r.Context().Err() != nil:
+		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonCancelled
+	case ctx.Err() != nil:
+		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonTimeout
 	}
 	a.finish(outcome, false)
-	x.reason = string(bbtverdict.ReasonResponseIncomplete)
-	x.gateway.counters.Add("answers-broken-off", 1)
+	x.reason = string(reason)
+	x.gateway.counters.Add("answers-broken-off-"+string(reason), 1)
 	panic(http.ErrAbortHandler)
 }
 
