bbtgateway: keep requests at silent endpoints until another one is granted

What callers saw: with all slots taken, requests whose endpoint had been silent for 1.2 s (0.3 s for plain calls) got 502, and streams that had begun were cut, though nothing was wrong with their connection.

Cause: the watchdog cancelled the dispatch first and asked the owner for another endpoint afterwards. A refusal (no room, no retry left, quarantine) then ended a request whose endpoint might have answered the next moment. Class: giving up what one has before holding what replaces it.

The fix: the watchdog asks for a relocation while the dispatch goes on. The owner queues it behind the timely requests, under an ID of its own, so that both runs are counted; the dispatch is cancelled when the permit has come. If the endpoint goes on first the permit is returned; if the relocation is refused the request stays and asks again after another silence. The owner pauses endpoints that are silent to several requests, as it did when the dispatches were ended. Requests that are dequeued without a permit give their retry back to the budget.

--- a/core/bbtentry/action.go
+++ b/core/bbtentry/action.go
@@ -43,6 +43,15 @@
 	Decision   Decision
 }
 
+// RelocationGranted reports that another endpoint can take a request whose endpoint
+// is silent. The request is dispatched there once its dispatch has ended to be
+// retried.
+type RelocationGranted struct{ ID bbtschedule.RequestID }
+
+// RelocationRefused reports that no other endpoint takes a request whose endpoint is
+// silent.
+type RelocationRefused struct{ ID bbtschedule.RequestID }
+
 // OwnerUnresponsive reports that the owner has been silent for at least
 // OwnerTimeout while a reply from it was pending.
 type OwnerUnresponsive struct {
@@ -53,4 +62,6 @@
 func (Send) action()              {}
 func (Dispatch) action()          {}
 func (Fail) action()              {}
+func (RelocationGranted) action() {}
+func (RelocationRefused) action() {}
 func (OwnerUnresponsive) action() {}
--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -22,6 +22,7 @@
 // call is the state of one request.
 type call struct {
 	id              bbtschedule.RequestID
+	registeredID    bbtschedule.RequestID // by which owners know it; differs from id after a relocation
 	submission      Submission
 	dispatchNumber  int // number of the dispatch that is requested or in progress, from 0
 	dispatched      int // dispatches that reached an endpoint
@@ -31,6 +32,7 @@
 	endpoint        string
 	permitOwner     bbtfleet.HostID // owner that issued the permit
 	permittedAt     time.Time
+	relocation      *relocation // nil unless another endpoint is looked for
 }
 
 // timeLeft returns the time until the deadline.
@@ -39,7 +41,7 @@
 // registration returns the message that asks the owner for a permit.
 func (c *call) registration(now time.Time) bbtschedule.Registration {
 	r := c.submission.Registration
-	r.ID, r.Attempt = c.id, c.dispatchNumber
+	r.ID, r.Attempt = c.registeredID, c.dispatchNumber
 	r.RemainingTime = c.timeLeft(now)
 	r.RemainingObjective = c.submission.ObjectiveDeadline.Sub(now)
 	r.Exclude = c.triedEndpoints
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -38,6 +38,7 @@
 	awaitingSince time.Time // since when a reply from the owner is pending; zero if none is
 	lastTick      time.Time
 	calls         map[bbtschedule.RequestID]*call
+	aliases       map[bbtschedule.RequestID]bbtschedule.RequestID // requests by the other IDs under which they are registered
 	lastID        bbtschedule.RequestID
 	limitUsage    usage
 	learned       bbtschedule.Learned // for the next owner
@@ -47,7 +48,8 @@
 // New returns an entry without requests. Request IDs start after baseID, so that a
 // new process does not reuse those of an earlier one.
 func New(baseID bbtschedule.RequestID, b bbtcatalog.Bounds) *Entry {
-	return &Entry{calls: make(map[bbtschedule.RequestID]*call), lastID: baseID, limitUsage: newUsage(b), limits: newLimits()}
+	return &Entry{calls: make(map[bbtschedule.RequestID]*call), aliases: make(map[bbtschedule.RequestID]bbtschedule.RequestID), lastID: baseID,
+		limitUsage: newUsage(b), limits: newLimits()}
 }
 
 // Owner returns the host that issues permits; empty if there is none.
@@ -59,7 +61,7 @@
 // Submit adds a request and asks the owner for a permit.
 func (e *Entry) Submit(now time.Time, s Submission) (bbtschedule.RequestID, []Action) {
 	e.lastID++
-	c := &call{id: e.lastID, submission: s}
+	c := &call{id: e.lastID, registeredID: e.lastID, submission: s}
 	e.calls[c.id] = c
 	return c.id, e.register(now, c)
 }
@@ -80,7 +82,7 @@
 
 // fail removes a request and reports its failure in a Fail action.
 func (e *Entry) fail(c *call, reason bbtverdict.Reason, retryAfter time.Duration) []Action {
-	delete(e.calls, c.id)
+	e.remove(c)
 	return []Action{Fail{ID: c.id, Reason: reason, RetryAfter: retryAfter}}
 }
 
@@ -98,22 +100,23 @@
 	if owner == e.owner {
 		return nil
 	}
+	out := e.refuseRelocations()
 	e.owner, e.lastHeard, e.lastProbe, e.awaitingSince = owner, now, time.Time{}, time.Time{}
 	if owner == "" {
-		return nil
+		return out
 	}
 	t := e.limitUsage.takeover(now)
 	t.Learned, t.Limits = e.learned, e.limits.takeover(now)
-	var out []Action
+	var registrations []Action
 	for _, id := range e.sortedIDs() {
 		c := e.calls[id]
 		if c.running {
 			t.Running = append(t.Running, c.takeover(now))
 			continue
 		}
-		out = append(out, e.register(now, c)...)
+		registrations = append(registrations, e.register(now, c)...)
 	}
-	return append([]Action{Send{owner, t}}, out...)
+	return append(append(out, Send{owner, t}), registrations...)
 }
 
 // sortedIDs returns the IDs of all requests in ascending order.
@@ -136,8 +139,11 @@
 // PermitReceived handles a permit. A permit that no request waits for, or whose
 // request has reached its deadline, is returned to the sender as unused.
 func (e *Entry) PermitReceived(now time.Time, from bbtfleet.HostID, p bbtschedule.Permit) []Action {
-	c := e.calls[p.ID]
-	if c == nil || c.running || c.dispatchNumber != p.Attempt {
+	c := e.callOf(p.ID)
+	if c != nil && c.relocation != nil && c.relocation.id == p.ID {
+		return c.relocationPermitted(from, p)
+	}
+	if c == nil || c.registeredID != p.ID || c.running || c.dispatchNumber != p.Attempt {
 		return []Action{Send{from, bbtschedule.Done{ID: p.ID, Attempt: p.Attempt, Outcome: bbtschedule.Unused}}}
 	}
 	if c.timeLeft(now) <= 0 {
@@ -152,11 +158,16 @@
 
 // RefusalReceived handles a refusal from an owner.
 func (e *Entry) RefusalReceived(from bbtfleet.HostID, r bbtschedule.Refusal) []Action {
-	c := e.calls[r.ID]
-	if c == nil || c.running || c.dispatchNumber != r.Attempt {
+	c := e.callOf(r.ID)
+	if c != nil && c.relocation != nil && c.relocation.id == r.ID {
+		c.relocation = nil
+		delete(e.aliases, r.ID)
+		return []Action{RelocationRefused{c.id}}
+	}
+	if c == nil || c.registeredID != r.ID || c.running || c.dispatchNumber != r.Attempt {
 		return nil
 	}
-	delete(e.calls, c.id)
+	e.remove(c)
 	return []Action{Fail{ID: c.id, Reason: bbtverdict.Reason(r.Reason), RetryAfter: r.RetryAfter,
 		Decision: Decision{Owner: from, Ahead: r.Ahead, Wait: r.Wait}}}
 }
@@ -170,7 +181,7 @@
 	}
 	e.limits.record(now, c.endpoint, l)
 	c.responseStarted = true
-	return []Action{Send{e.owner, bbtschedule.FirstEvent{ID: id, Limit: l}}}
+	return []Action{Send{e.owner, bbtschedule.FirstEvent{ID: c.registeredID, Limit: l}}}
 }
 
 // DispatchEnded records the end of a dispatch. retry states that the request may be
@@ -183,7 +194,7 @@
 		return nil
 	}
 	e.limits.record(now, c.endpoint, d.Limit)
-	d.ID, d.Attempt = c.id, c.dispatchNumber
+	d.ID, d.Attempt = c.registeredID, c.dispatchNumber
 	out := []Action{Send{e.owner, d}}
 	if c.permitOwner != e.owner && c.permitOwner != "" {
 		out = append(out, Send{c.permitOwner, d})
@@ -196,11 +207,16 @@
 	}
 	switch {
 	case !retry:
-		delete(e.calls, id)
+		out = append(out, e.dropRelocation(c)...)
+		e.remove(c)
 		return out
 	case c.dispatched >= c.submission.MaxAttempts || c.dispatchNumber >= maxDispatches:
+		out = append(out, e.dropRelocation(c)...)
 		return append(out, e.fail(c, bbtverdict.ReasonAttemptsExhausted, 0)...)
+	case c.relocation != nil && c.relocation.permit != nil:
+		return append(out, e.useRelocation(now, c)...)
 	default:
+		out = append(out, e.dropRelocation(c)...)
 		return append(out, e.register(now, c)...)
 	}
 }
@@ -211,11 +227,12 @@
 	if c == nil {
 		return nil
 	}
-	delete(e.calls, id)
+	out := e.dropRelocation(c)
+	e.remove(c)
 	if c.running {
-		return []Action{Send{e.owner, bbtschedule.Done{ID: id, Attempt: c.dispatchNumber, Outcome: bbtschedule.Cancelled}}}
+		return append(out, Send{e.owner, bbtschedule.Done{ID: c.registeredID, Attempt: c.dispatchNumber, Outcome: bbtschedule.Cancelled}})
 	}
-	return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: id}}}
+	return append(out, Send{e.owner, bbtschedule.Withdrawal{ID: c.registeredID}})
 }
 
 // Tick handles timeouts and sends probes that are due.
@@ -224,7 +241,7 @@
 	var out []Action
 	for _, id := range e.sortedIDs() {
 		if c := e.calls[id]; !c.running && c.timeLeft(now) <= 0 {
-			out = append(out, Send{e.owner, bbtschedule.Withdrawal{ID: id}})
+			out = append(out, Send{e.owner, bbtschedule.Withdrawal{ID: c.registeredID}})
 			out = append(out, e.fail(c, bbtverdict.ReasonTimeout, 0)...)
 		}
 	}
--- /dev/null
+++ b/core/bbtentry/relocate.go
@@ -0,0 +1,109 @@
+package bbtentry
+
+import (
+	"slices"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtschedule"
+)
+
+// relocation is the search for another endpoint for a request whose endpoint is
+// silent, while its dispatch goes on.
+type relocation struct {
+	id     bbtschedule.RequestID // of its registration
+	permit *bbtschedule.Permit   // nil until it is granted
+	owner  bbtfleet.HostID       // that granted the permit
+}
+
+// Relocate asks the owner for another endpoint for a request whose endpoint is
+// silent. attempt is the number of its dispatch. It is answered by RelocationGranted or RelocationRefused. The dispatch goes
+// on: if it is granted and the dispatch then ends to be retried, the permit is used.
+func (e *Entry) Relocate(now time.Time, id bbtschedule.RequestID, attempt int) []Action {
+	c := e.calls[id]
+	if c == nil || !c.running || c.dispatchNumber != attempt || c.relocation != nil {
+		return nil
+	}
+	if e.owner == "" || c.dispatched+1 >= c.submission.MaxAttempts || c.dispatchNumber+1 >= maxDispatches || c.timeLeft(now) <= 0 {
+		return []Action{RelocationRefused{id}}
+	}
+	e.lastID++
+	c.relocation = &relocation{id: e.lastID}
+	e.aliases[e.lastID] = id
+	if e.awaitingSince.IsZero() {
+		e.awaitingSince = now
+	}
+	r := c.registration(now)
+	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.dispatchNumber+1, true, c.endpoint
+	r.Exclude = append(slices.Clone(c.triedEndpoints), c.endpoint)
+	return []Action{Send{e.owner, r}}
+}
+
+// CancelRelocation ends the search for another endpoint, since the request's endpoint
+// is no longer silent.
+func (e *Entry) CancelRelocation(id bbtschedule.RequestID) []Action {
+	if c := e.calls[id]; c != nil {
+		return e.dropRelocation(c)
+	}
+	return nil
+}
+
+// dropRelocation ends the relocation of a request, if there is one, and returns its
+// permit unused.
+func (e *Entry) dropRelocation(c *call) []Action {
+	rel := c.relocation
+	if rel == nil {
+		return nil
+	}
+	c.relocation = nil
+	delete(e.aliases, rel.id)
+	if rel.permit == nil {
+		return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: rel.id}}}
+	}
+	return []Action{Send{rel.owner, bbtschedule.Done{ID: rel.id, Attempt: rel.permit.Attempt, Outcome: bbtschedule.Unused}}}
+}
+
+// relocationPermitted records the permit for a relocation.
+func (c *call) relocationPermitted(from bbtfleet.HostID, p bbtschedule.Permit) []Action {
+	if c.relocation.permit != nil {
+		return nil
+	}
+	c.relocation.permit, c.relocation.owner = &p, from
+	return []Action{RelocationGranted{c.id}}
+}
+
+// useRelocation dispatches a request, whose dispatch has ended, under the permit of its
+// relocation.
+func (e *Entry) useRelocation(now time.Time, c *call) []Action {
+	rel := c.relocation
+	c.relocation = nil
+	delete(e.aliases, c.registeredID)
+	c.registeredID = rel.id
+	return e.PermitReceived(now, rel.owner, *rel.permit)
+}
+
+// refuseRelocations ends all relocations, since the owner changes.
+func (e *Entry) refuseRelocations() []Action {
+	var out []Action
+	for _, id := range e.sortedIDs() {
+		if c := e.calls[id]; c.relocation != nil {
+			out = append(out, e.dropRelocation(c)...)
+			out = append(out, RelocationRefused{id})
+		}
+	}
+	return out
+}
+
+// callOf returns the request with a registration, nil if there is none.
+func (e *Entry) callOf(registered bbtschedule.RequestID) *call {
+	if id, ok := e.aliases[registered]; ok {
+		return e.calls[id]
+	}
+	return e.calls[registered]
+}
+
+// remove removes a request that has no relocation.
+func (e *Entry) remove(c *call) {
+	delete(e.calls, c.id)
+	delete(e.aliases, c.registeredID)
+}
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -29,6 +29,7 @@
 	EffectiveObjective   time.Duration `cbor:"17,keyasint,omitempty"` // latency objective from arrival to first event; the request's timeout if the route has none
 	ExpectedOutputTokens int           `cbor:"19,keyasint,omitempty"` // as given by the caller; 0 if unknown
 	Zone                 string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that received the request
+	Silent               string        `cbor:"20,keyasint,omitempty"` // endpoint that is silent, where a dispatch of the request goes on unless this one is permitted
 }
 
 // PromptBlock is a block of a prompt that several requests may share.
--- a/core/bbtschedule/register.go
+++ b/core/bbtschedule/register.go
@@ -23,6 +23,9 @@
 	if s.suspects.banned(now, &r) {
 		return refuse(bbtverdict.ReasonCrashesEndpoints, 0)
 	}
+	if r.Silent != "" {
+		return s.relocate(now, from, sv, r)
+	}
 	if r.Attempt == 0 {
 		s.retryBudget.countRequest(now, r.Service)
 	}
@@ -49,21 +52,24 @@
 	return []Action{s.refuseWaiter(now, w, Refusal{Reason: string(bbtverdict.ReasonPoolFull), Ahead: ahead, Wait: wait})}
 }
 
-// refuseWaiter refuses a dequeued request, refunds its cost and sets when its
+// refuseWaiter refuses a dequeued request, reclaims what it used and sets when its
 // caller should retry.
 func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, r Refusal) Action {
-	s.refund(now, &w.reg, now.Sub(w.arrivedAt))
+	if w.reg.Silent != "" {
+		return s.refuseRelocation(now, w)
+	}
+	s.reclaim(now, w)
 	r.ID, r.Attempt = w.reg.ID, w.reg.Attempt
 	r.RetryAfter = s.backoff.retryDelay(now, w.withRemainingTime(now))
 	return Action{w.key.host, r}
 }
 
-// Withdraw removes a request from the queue and refunds its cost.
+// Withdraw removes a request from the queue and reclaims what it used.
 func (s *Scheduler) Withdraw(now time.Time, from bbtfleet.HostID, id RequestID) {
 	for _, sv := range s.services {
 		if w := sv.queue.byKey[key{from, id}]; w != nil {
 			sv.queue.remove(w)
-			s.refund(now, &w.reg, now.Sub(w.arrivedAt))
+			s.reclaim(now, w)
 		}
 	}
 }
--- /dev/null
+++ b/core/bbtschedule/relocate.go
@@ -0,0 +1,53 @@
+package bbtschedule
+
+import (
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtverdict"
+)
+
+// relocate queues a request whose dispatch goes on at a silent endpoint for another
+// one, behind the timely requests, even if its latency objective is missed. It refuses
+// the request only if no retry is left, since the silent endpoint may answer meanwhile.
+func (s *Scheduler) relocate(now time.Time, from bbtfleet.HostID, sv *service, r Registration) []Action {
+	if e := s.byID[r.Silent]; e != nil {
+		e.recordSilence(now)
+	}
+	if !s.retryBudget.take(now, r.Service, s.shares.limits) {
+		return []Action{{from, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(bbtverdict.ReasonRetryBudget)}}}
+	}
+	w := newWaiter(now, key{from, r.ID}, r, false)
+	sv.refresh(now)
+	sv.enqueue(now, w)
+	if e := sv.choose(now, w); e != nil {
+		return []Action{s.permit(now, sv, w, e)}
+	}
+	return nil
+}
+
+// refuseRelocation refuses a dequeued relocation. Its caller is not told, so no return
+// is expected.
+func (s *Scheduler) refuseRelocation(now time.Time, w *waiter) Action {
+	s.reclaim(now, w)
+	return Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(bbtverdict.ReasonPoolFull)}}
+}
+
+// reclaim reverses what a request that is dequeued without a permit has used of its
+// account's limit and of the retry budget.
+func (s *Scheduler) reclaim(now time.Time, w *waiter) {
+	age := now.Sub(w.arrivedAt)
+	s.refund(now, &w.reg, age)
+	if w.reg.Retry {
+		s.retryBudget.giveBack(now, w.reg.Service, age)
+	}
+}
+
+// recordSilence pauses an endpoint at which several requests in succession get no
+// data. A first event resets the count.
+func (e *endpoint) recordSilence(now time.Time) {
+	if e.consecutiveFailures++; e.consecutiveFailures >= failuresToPause {
+		e.pause(now, e.failurePause())
+		e.service.reorder(now, e)
+	}
+}
--- a/core/bbtschedule/repeats.go
+++ b/core/bbtschedule/repeats.go
@@ -46,6 +46,11 @@
 	return true
 }
 
+// giveBack reverses a retry, taken the given time ago, that was not permitted.
+func (t *retryBudget) giveBack(now time.Time, service string, age time.Duration) {
+	t.meter(t.retries, service).Add(now, age, -1)
+}
+
 // remaining returns how many retries the budget allows now.
 func (t *retryBudget) remaining(now time.Time, service string, share float64) float64 {
 	requests := t.meter(t.requests, service).Sum(now)
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -117,7 +117,7 @@
 	for _, sv := range s.services {
 		for _, w := range sv.queue.ofHost(host) {
 			sv.queue.remove(w)
-			s.refund(now, &w.reg, now.Sub(w.arrivedAt))
+			s.reclaim(now, w)
 		}
 	}
 	for k := range s.runs {
--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -57,6 +57,7 @@
 }
 
 func (ev ended) apply(e *Edge, now time.Time) {
+	delete(e.relocations, ev.req.id)
 	e.doEntry(now, e.entry.DispatchEnded(now, ev.req.id, ev.done, ev.retry))
 	if !ev.retry {
 		delete(e.requests, ev.req.id)
@@ -65,6 +66,7 @@
 
 func (ev requestCancelled) apply(e *Edge, now time.Time) {
 	delete(e.requests, ev.req.id)
+	delete(e.relocations, ev.req.id)
 	e.doEntry(now, e.entry.Cancel(ev.req.id))
 }
 
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -24,6 +24,10 @@
 			err := bbtverdict.New(bbtverdict.NotRun, a.Reason, bbtverdict.WithRetryAfter(a.RetryAfter))
 			e.reply(a.ID, reply{dispatch: bbtentry.Dispatch{Decision: a.Decision}, err: err})
 			delete(e.requests, a.ID)
+		case bbtentry.RelocationGranted:
+			e.answerRelocation(a.ID, true)
+		case bbtentry.RelocationRefused:
+			e.answerRelocation(a.ID, false)
 		case bbtentry.OwnerUnresponsive:
 			e.log.Warn("owner silent", zap.String("peer", string(a.Host)), zap.Duration("for", a.Silence))
 			e.counters.Add("owners-silent", 1)
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -76,7 +76,7 @@
 	x.dispatchedAt = time.Now()
 	dispatchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	a := &attempt{exchange: x, dispatch: d, watchdog: x.startWatchdog(cancel)}
+	a := &attempt{exchange: x, dispatch: d, watchdog: x.startWatchdog(d.Attempt, cancel)}
 	defer a.watchdog.stop()
 	resp, err := x.transport().RoundTrip(x.newRequest(a.connTrace.withTrace(dispatchCtx), d))
 	if err != nil {
--- a/io/bbtgateway/silence.go
+++ b/io/bbtgateway/silence.go
@@ -2,63 +2,131 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/io/bbtedge"
 )
 
-// Timeouts after which a request that may be repeated is sent to another
-// endpoint, unless this is its last attempt. The response timeout covers the
+// Timeouts after which another endpoint is looked for, for a request that may be
+// repeated, unless this is its last attempt. The response timeout covers the
 // time until the first event of a stream, the header of an unbuffered response,
 // or the end of a buffered one. The idle timeout covers the time between events.
 const (
 	responseTimeoutFactor = 2 // of the route's latency objective
 	idleTimeoutFactor     = 4 // of the route's maximum gap between events
 	minTimeout            = 250 * time.Millisecond
+	// relocationTimeout is the time after which the answer to a relocation is taken
+	// for lost. It exceeds the time for which an owner queues it.
+	relocationTimeout = 2 * time.Second
 )
 
-// watchdog cancels a dispatch whose endpoint sends nothing for too long. A nil
-// watchdog does nothing.
+// watchdog moves a request to another endpoint if its own sends nothing for too long.
+// The dispatch is cancelled only when another endpoint is granted: until then the
+// silent one may still answer. A nil watchdog does nothing.
 type watchdog struct {
-	timer       *time.Timer
+	request     *bbtedge.Request
+	attempt     int // number of the dispatch
 	idleTimeout time.Duration
-	expired     atomic.Bool
+	patience    time.Duration // with the answer to a relocation
 	cancel      context.CancelFunc
+	expired     atomic.Bool
+	progress    chan struct{} // holds a value if events have arrived
+	stopped     chan struct{} // closed by stop
+
+	mu        sync.Mutex
+	timer     *time.Timer
+	isStopped bool
 }
 
-// startWatchdog returns a running watchdog that calls cancel, or nil if the
+// startWatchdog returns a running watchdog of a dispatch that calls cancel, or nil if the
 // request cannot be sent to another endpoint.
-func (x *exchange) startWatchdog(cancel context.CancelFunc) *watchdog {
+func (x *exchange) startWatchdog(attempt int, cancel context.CancelFunc) *watchdog {
 	if !x.route.Retryable() || x.isLastAttempt() {
 		return nil
 	}
-	w := &watchdog{cancel: cancel, idleTimeout: max(idleTimeoutFactor*x.route.MaxEventGap, minTimeout)}
+	w := &watchdog{
+		request: x.request, attempt: attempt, cancel: cancel, idleTimeout: max(idleTimeoutFactor*x.route.MaxEventGap, minTimeout),
+		patience: max(relocationTimeout, 2*x.route.LatencyObjective), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
+	}
 	responseTimeout := max(responseTimeoutFactor*x.route.LatencyObjective, minTimeout)
 	if x.route.Kind == bbtcatalog.Streaming {
 		responseTimeout = max(responseTimeout, w.idleTimeout)
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(responseTimeout, w.expire)
 	return w
 }
 
-// expire cancels the dispatch.
+// expire looks for another endpoint. It cancels the dispatch if there is one, and
+// otherwise waits for another idle timeout.
 func (w *watchdog) expire() {
-	w.expired.Store(true)
-	w.cancel()
+	select {
+	case <-w.progress: // before the silence
+	default:
+	}
+	rel := w.request.Relocate(w.attempt)
+	patience := time.NewTimer(w.patience)
+	defer patience.Stop()
+	granted := false
+	select {
+	case granted = <-rel.Answer():
+	case <-w.progress:
+		rel.Cancel()
+		return
+	case <-patience.C:
+		rel.Cancel()
+	case <-w.stopped:
+		return
+	}
+	if !granted {
+		w.rearm()
+		return
+	}
+	select {
+	case <-w.progress:
+		rel.Cancel()
+	default:
+		w.expired.Store(true)
+		w.cancel()
+	}
+}
+
+// rearm starts the timer again unless the watchdog is stopped.
+func (w *watchdog) rearm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isStopped {
+		w.timer.Reset(w.idleTimeout)
+	}
 }
 
 // reset restarts the timer with the idle timeout when events have arrived.
 func (w *watchdog) reset() {
-	if w != nil {
-		w.timer.Reset(w.idleTimeout)
+	if w == nil {
+		return
+	}
+	w.rearm()
+	select {
+	case w.progress <- struct{}{}:
+	default:
 	}
 }
 
-// stop stops the timer.
+// stop stops the watchdog.
 func (w *watchdog) stop() {
-	if w != nil {
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.isStopped {
+		w.isStopped = true
 		w.timer.Stop()
+		close(w.stopped)
 	}
 }
 
