bbtschedule: repeat registrations, permits and refusals that are lost

Cause: a host asks the owner whether it lives, not whether it knows the requests. The reply to a Probe clears all doubts, so a request whose registration, permit or refusal was lost, or that was dropped by an owner that took the host for dead, waits for a message that nobody sends.

A Probe now names the registrations that have had no reply for 200 ms, 64 at most. The owner sends the permit or the refusal again, or answers that it does not know the request, which the host then registers again. All of it may happen twice: a registration that arrives again keeps its place, and is neither charged nor counted again; a permit that is in use is ignored; a Withdrawal, which names its attempt, ends the run whose permit was lost, and refunds it; what was settled in the last two seconds is remembered, so that a registration that arrives late has no effect.

Failed before: TestLostRegistrationOrPermitIsRepeated ("got not-run: timeout, want a permit"), TestLostRefusalIsRepeated ("got the refusal after 5.04s, want it within 900ms"). TestNoMessageLossHarmsARequest plays loss, duplication and reordering of all messages between an entry and a scheduler, 5,000 sequences; nine changes that each take out one part of the mechanism fail in it or in repeat_test.go.

Tests changed: callers of the load in fleet_test.go came back after a refusal under the ID of the refused request, which a host never gives twice; they get a new one, as from Entry.Submit. Withdraw takes the message, as it has an attempt now.

Not covered: a lost Done keeps its slot until the deadline, as before.

--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -31,6 +31,7 @@
 	endpoint        string
 	permitOwner     bbtfleet.HostID // owner that issued the permit
 	permittedAt     time.Time
+	askedAt         time.Time // when the owner was last asked for the permit, or for a lost reply
 }
 
 // timeLeft returns the time until the deadline.
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -75,6 +75,7 @@
 	if e.awaitingSince.IsZero() {
 		e.awaitingSince = now
 	}
+	c.askedAt = now
 	return []Action{Send{e.owner, c.registration(now)}}
 }
 
@@ -134,9 +135,13 @@
 }
 
 // PermitReceived handles a permit. A permit that no request waits for, or whose
-// request has reached its deadline, is returned to the sender as unused.
+// request has reached its deadline, is returned to the sender as unused. One that has
+// arrived before is ignored.
 func (e *Entry) PermitReceived(now time.Time, from bbtfleet.HostID, p bbtschedule.Permit) []Action {
 	c := e.calls[p.ID]
+	if c.usesPermit(from, p) {
+		return nil
+	}
 	if c == nil || c.running || c.dispatchNumber != p.Attempt {
 		return []Action{Send{from, bbtschedule.Done{ID: p.ID, Attempt: p.Attempt, Outcome: bbtschedule.Unused}}}
 	}
@@ -215,7 +220,7 @@
 	if c.running {
 		return []Action{Send{e.owner, bbtschedule.Done{ID: id, Attempt: c.dispatchNumber, Outcome: bbtschedule.Cancelled}}}
 	}
-	return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: id}}}
+	return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: id, Attempt: c.dispatchNumber}}}
 }
 
 // Tick handles timeouts and sends probes that are due.
@@ -224,7 +229,7 @@
 	var out []Action
 	for _, id := range e.sortedIDs() {
 		if c := e.calls[id]; !c.running && c.timeLeft(now) <= 0 {
-			out = append(out, Send{e.owner, bbtschedule.Withdrawal{ID: id}})
+			out = append(out, Send{e.owner, bbtschedule.Withdrawal{ID: id, Attempt: c.dispatchNumber}})
 			out = append(out, e.fail(c, bbtverdict.ReasonTimeout, 0)...)
 		}
 	}
@@ -238,7 +243,7 @@
 		if e.awaitingSince.IsZero() {
 			e.awaitingSince = now
 		}
-		out = append(out, Send{e.owner, bbtschedule.Probe{}})
+		out = append(out, Send{e.owner, bbtschedule.Probe{Pending: e.pending(now)}})
 	}
 	if !e.awaitingSince.IsZero() && now.Sub(e.awaitingSince) >= OwnerTimeout && silence >= OwnerTimeout {
 		out = append(out, OwnerUnresponsive{Host: e.owner, Silence: silence})
--- /dev/null
+++ b/core/bbtentry/pending.go
@@ -0,0 +1,53 @@
+package bbtentry
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bluebelltray/core/bbtfleet"
+	"bluebelltray/core/bbtschedule"
+)
+
+// replyDelay is how long a request waits for a permit or a refusal before the next
+// Probe asks whether the owner knows the request. Requests in a queue wait as long, too.
+const replyDelay = 200 * time.Millisecond
+
+// pending returns the registrations without a reply for replyDelay since the owner was
+// last asked, those first that have waited longest, at most bbtschedule.MaxPending.
+// The others follow with the next Probe.
+func (e *Entry) pending(now time.Time) []bbtschedule.Pending {
+	var waiting []*call
+	for _, c := range e.calls {
+		if !c.running && now.Sub(c.askedAt) >= replyDelay {
+			waiting = append(waiting, c)
+		}
+	}
+	slices.SortFunc(waiting, func(a, b *call) int { return cmp.Or(a.askedAt.Compare(b.askedAt), cmp.Compare(a.id, b.id)) })
+	var out []bbtschedule.Pending
+	for _, c := range waiting[:min(len(waiting), bbtschedule.MaxPending)] {
+		c.askedAt = now
+		out = append(out, bbtschedule.Pending{ID: c.id, Attempt: c.dispatchNumber})
+	}
+	return out
+}
+
+// Unknown handles the registrations that an owner does not know, which were lost with
+// a message or with an earlier process of the owner. It registers the requests again.
+func (e *Entry) Unknown(now time.Time, from bbtfleet.HostID, list []bbtschedule.Pending) []Action {
+	if from != e.owner {
+		return nil
+	}
+	var out []Action
+	for _, p := range list[:min(len(list), bbtschedule.MaxPending)] {
+		if c := e.calls[p.ID]; c != nil && !c.running && c.dispatchNumber == p.Attempt {
+			out = append(out, e.register(now, c)...)
+		}
+	}
+	return out
+}
+
+// usesPermit reports whether a permit is the one under which the request runs.
+func (c *call) usesPermit(from bbtfleet.HostID, p bbtschedule.Permit) bool {
+	return c != nil && c.running && c.dispatchNumber == p.Attempt && c.permitOwner == from && c.endpoint == p.Endpoint
+}
--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -229,7 +229,7 @@
 }
 
 // firstEvent records the first event of a run and updates the prefill estimate.
-// Runs that started under a former owner give no samples.
+// Runs that started under a former owner, or late for a lost permit, give no samples.
 func (e *endpoint) firstEvent(now time.Time, r *run) {
 	if r.firstEvent {
 		return
@@ -240,7 +240,7 @@
 	e.lastFirstEventAt = now
 	e.firstEvents++
 	e.consecutiveFailures = 0
-	if !e.service.record.ModelEngine || r.adopted {
+	if !e.service.record.ModelEngine || r.adopted || r.repeated {
 		return
 	}
 	took := float64(now.Sub(r.granted)) / float64(time.Millisecond)
--- a/core/bbtschedule/endpoint_test.go
+++ b/core/bbtschedule/endpoint_test.go
@@ -250,7 +250,7 @@
 			for b.Loop() {
 				i++
 				s.Register(start, "host", stream(i, 1))
-				s.Withdraw(start, "host", RequestID(i))
+				s.Withdraw(start, "host", Withdrawal{ID: RequestID(i)})
 			}
 		})
 	}
--- a/core/bbtschedule/fleet_test.go
+++ b/core/bbtschedule/fleet_test.go
@@ -164,8 +164,15 @@
 	return c
 }
 
-// submit registers an attempt of a caller.
+// submit registers a request of a caller. One that returns after a refusal sends a new
+// request, which its host gives another ID.
 func (l *load) submit(now time.Time, c *caller) []Action {
+	if c.tries > 0 {
+		delete(l.callers, c.reg.ID)
+		l.next++
+		c.reg.ID = l.next
+		l.callers[c.reg.ID] = c
+	}
 	c.tries++
 	c.reg.RemainingTime = c.arrivedAt.Add(12 * time.Second).Sub(now)
 	return l.s.Register(now, "host", c.reg)
--- a/core/bbtschedule/grant.go
+++ b/core/bbtschedule/grant.go
@@ -99,7 +99,5 @@
 	r := &run{key: w.key, reg: w.reg, endpoint: e, granted: now, trial: s.suspects.begin(now, &w.reg)}
 	s.runs[w.key] = r
 	e.startRun(now, r)
-	return Action{w.key.host, Permit{
-		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, SpeedEstimate: e.speed(), Running: len(e.running),
-	}}
+	return Action{w.key.host, r.permit()}
 }
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -37,9 +37,17 @@
 	Tokens int    `cbor:"2,keyasint"`
 }
 
-// Withdrawal cancels a registration.
+// Withdrawal cancels a registration, and returns its permit if one has been issued
+// that the host has not received.
 type Withdrawal struct {
-	ID RequestID `cbor:"1,keyasint"`
+	ID      RequestID `cbor:"1,keyasint"`
+	Attempt int       `cbor:"2,keyasint,omitempty"`
+}
+
+// Pending identifies a registration that a host has no reply to.
+type Pending struct {
+	ID      RequestID `cbor:"1,keyasint"`
+	Attempt int       `cbor:"2,keyasint,omitempty"`
 }
 
 // Permit allows a host to send a request to an endpoint.
@@ -168,10 +176,14 @@
 
 // Probe tells a host that the sender uses it as its owner, and requests a
 // ProbeReply.
-type Probe struct{}
+type Probe struct {
+	Pending []Pending `cbor:"1,keyasint,omitempty"` // registrations without a reply for long
+}
 
-// ProbeReply answers a Probe with the state that the next owner would need.
+// ProbeReply answers a Probe with the state that the next owner would need, and with
+// those of the probe's registrations that are not known.
 type ProbeReply struct {
+	Unknown     []Pending `cbor:"4,keyasint,omitempty"`
 	Deficits    []Deficit `cbor:"1,keyasint,omitempty"`
 	Learned     Learned   `cbor:"3,keyasint,omitzero"`
 	Incarnation uint64    `cbor:"2,keyasint,omitempty"` // of the replying process; a new process at the same address has no state
--- a/core/bbtschedule/register.go
+++ b/core/bbtschedule/register.go
@@ -8,29 +8,35 @@
 )
 
 // Register queues a request, or refuses it if a limit does not allow it or its
-// expected wait is too long. It grants permits at once if endpoints are free.
+// expected wait is too long. It grants permits at once if endpoints are free. A
+// registration that has arrived before keeps its place and is answered as before.
 func (s *Scheduler) Register(now time.Time, from bbtfleet.HostID, r Registration) []Action {
 	k := key{from, r.ID}
+	if again, known := s.known(now, k, r.Attempt); known {
+		return again
+	}
 	refuse := func(reason bbtverdict.Reason, retryAfter time.Duration) []Action {
-		return []Action{{from, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(reason), RetryAfter: retryAfter}}}
+		return []Action{s.refuse(now, k, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(reason), RetryAfter: retryAfter})}
 	}
 	sv := s.services[r.Service]
 	if sv == nil {
 		return refuse(bbtverdict.ReasonUnknownPool, minRetryAfter)
 	}
 	s.release(now, k)
-	s.Withdraw(now, from, r.ID) // it may wait since before the host used another owner
+	s.drop(now, k) // an earlier attempt may wait since before the host used another owner
 	if s.suspects.banned(now, &r) {
 		return refuse(bbtverdict.ReasonCrashesEndpoints, 0)
 	}
-	if r.Attempt == 0 {
+	before, counted := s.settled.of(now, k)
+	counted = counted && before.forgotten && before.attempt == r.Attempt
+	if r.Attempt == 0 && !counted {
 		s.retryBudget.countRequest(now, r.Service)
 	}
-	if r.Retry && !s.retryBudget.take(now, r.Service, s.shares.limits) {
+	if r.Retry && !counted && !s.retryBudget.take(now, r.Service, s.shares.limits) {
 		return refuse(bbtverdict.ReasonRetryBudget, 0)
 	}
 	returning := s.backoff.wasRefused(now, r.Fingerprint)
-	if r.Attempt == 0 {
+	if r.Attempt == 0 && !(counted && before.charged) {
 		if retryAfter, ok := s.charge(now, &r); !ok {
 			return refuse(bbtverdict.ReasonTokenRate, min(max(retryAfter, s.backoff.retryDelay(now, r)), r.RemainingTime/retryAfterDivisor))
 		}
@@ -49,21 +55,34 @@
 	return []Action{s.refuseWaiter(now, w, Refusal{Reason: string(bbtverdict.ReasonPoolFull), Ahead: ahead, Wait: wait})}
 }
 
+// refuse returns a refusal and remembers it, in case that it is lost.
+func (s *Scheduler) refuse(now time.Time, k key, r Refusal) Action {
+	s.settled.put(now, k, settlement{attempt: r.Attempt, refusal: &r})
+	return Action{k.host, r}
+}
+
 // refuseWaiter refuses a dequeued request, refunds its cost and sets when its
 // caller should retry.
 func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, r Refusal) Action {
 	s.refund(now, &w.reg, now.Sub(w.arrivedAt))
 	r.ID, r.Attempt = w.reg.ID, w.reg.Attempt
 	r.RetryAfter = s.backoff.retryDelay(now, w.withRemainingTime(now))
-	return Action{w.key.host, r}
+	return s.refuse(now, w.key, r)
 }
 
-// Withdraw removes a request from the queue and refunds its cost.
-func (s *Scheduler) Withdraw(now time.Time, from bbtfleet.HostID, id RequestID) {
-	for _, sv := range s.services {
-		if w := sv.queue.byKey[key{from, id}]; w != nil {
-			sv.queue.remove(w)
-			s.refund(now, &w.reg, now.Sub(w.arrivedAt))
-		}
+// Withdraw removes a request that has ended while its host waited for a permit, and
+// refunds its cost, unless a permit for an earlier attempt was used. It grants permits
+// for a slot that becomes free.
+func (s *Scheduler) Withdraw(now time.Time, from bbtfleet.HostID, m Withdrawal) []Action {
+	k := key{from, m.ID}
+	s.settled.put(now, k, settlement{attempt: allAttempts})
+	s.drop(now, k)
+	r := s.runs[k]
+	if r == nil {
+		return nil
+	}
+	if r.reg.Attempt == m.Attempt && !r.adopted {
+		return s.endRun(now, r, Done{Outcome: Unused})
 	}
+	return s.endRun(now, r, Done{Outcome: Cancelled})
 }
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -25,6 +25,15 @@
 	if r == nil || r.reg.Attempt != d.Attempt {
 		return nil
 	}
+	s.settled.put(now, r.key, settlement{attempt: d.Attempt})
+	if d.Outcome == Unused && r.firstEvent {
+		d.Outcome = Cancelled // a permit that came twice was returned; the other one was used
+	}
+	return s.endRun(now, r, d)
+}
+
+// endRun ends a run and grants permits for the slot that becomes free.
+func (s *Scheduler) endRun(now time.Time, r *run, d Done) []Action {
 	delete(s.runs, r.key)
 	s.recordStated(now, now, r.endpoint, d.Limit)
 	r.endpoint.endRun(now, r, d)
@@ -118,10 +127,12 @@
 		for _, w := range sv.queue.ofHost(host) {
 			sv.queue.remove(w)
 			s.refund(now, &w.reg, now.Sub(w.arrivedAt))
+			s.settled.put(now, w.key, settlement{attempt: w.reg.Attempt, forgotten: true})
 		}
 	}
-	for k := range s.runs {
+	for k, r := range s.runs {
 		if k.host == host {
+			s.settled.put(now, k, settlement{attempt: r.reg.Attempt, forgotten: true, charged: true})
 			s.release(now, k)
 		}
 	}
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -27,6 +27,7 @@
 	firstEvent    bool
 	trial         bool // something that the request has may crash endpoints
 	adopted       bool // started under a former owner, so its times are not sampled
+	repeated      bool // its permit was sent again, so the time to its first event is not sampled
 }
 
 // shares are the parts of the fleet's capacity that this owner may use.
@@ -56,6 +57,7 @@
 	retryBudget retryBudget
 	suspects    *suspects
 	backoff     backoff
+	settled     settled
 	unreported  []*crash // by time
 	notices     []Notice
 	reapedAt    time.Time // when runs past their deadlines were last searched for
--- a/core/bbtschedule/takeover_test.go
+++ b/core/bbtschedule/takeover_test.go
@@ -80,7 +80,7 @@
 	if got := len(permits(s.Register(now, "other", call(1)))); got != 0 {
 		t.Errorf("got %d permits after the takeover from a host without runs, want none", got)
 	}
-	s.Withdraw(now, "other", 1)
+	s.Withdraw(now, "other", Withdrawal{ID: 1})
 	s.TakeOver(now, "host", Takeover{Running: []Running{{Registration: call(2), Endpoint: "plain-0", Elapsed: time.Second}}})
 	if got := len(permits(s.Register(now, "host", call(3)))); got != 1 {
 		t.Errorf("got %d permits, want the slot of the request that ended", got)
@@ -110,6 +110,6 @@
 		if got := permits(s.Register(now, "other", call)); len(got) != c.want {
 			t.Errorf("%v after the permit: got %d permits for another request, want %d", c.after, len(got), c.want)
 		}
-		s.Withdraw(now, "other", call.ID)
+		s.Withdraw(now, "other", Withdrawal{ID: call.ID})
 	}
 }
--- a/io/bbtedge/fuzz_test.go
+++ b/io/bbtedge/fuzz_test.go
@@ -40,8 +40,8 @@
 			Learned:      bbtschedule.Learned{Quarantines: []bbtschedule.Quarantine{{Remaining: -maxDuration, Times: math.MinInt}, {Blocks: []uint64{1}, Remaining: maxDuration, Times: math.MaxInt}}},
 			Limits:       []bbtschedule.Limit{{Endpoint: "i-0", Limit: bbtschedule.StatedLimit{Answered: true, Limited: true, PerSecond: math.NaN()}, Age: -maxDuration}},
 		},
-		bbtschedule.ProbeReply{Deficits: []bbtschedule.Deficit{{Account: limitedAccount.Name, Units: math.NaN()}}},
-		bbtschedule.Probe{}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, MembershipSnapshot{},
+		bbtschedule.ProbeReply{Deficits: []bbtschedule.Deficit{{Account: limitedAccount.Name, Units: math.NaN()}}, Unknown: []bbtschedule.Pending{{ID: 1, Attempt: math.MinInt}}},
+		bbtschedule.Probe{}, bbtschedule.Probe{Pending: make([]bbtschedule.Pending, 1000)}, bbtschedule.Withdrawal{ID: 1, Attempt: math.MaxInt}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, MembershipSnapshot{},
 		bbtcatalog.Update{Revision: math.MaxUint64, Full: true, Changes: []bbtcatalog.Change{{}, {Config: &bbtcatalog.Config{Version: -1}}}},
 		bbtmember.Ping{}, bbtmember.Ack{}, bbtmember.IndirectPing{}, bbtmember.IndirectAck{},
 	} {
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -83,7 +83,7 @@
 		e.election.RecordFollower(now, from)
 		e.doScheduler(e.scheduler.Register(now, from, m))
 	case bbtschedule.Withdrawal:
-		e.scheduler.Withdraw(now, from, m.ID)
+		e.doScheduler(e.scheduler.Withdraw(now, from, m))
 	case bbtschedule.FirstEvent:
 		e.doScheduler(e.scheduler.FirstEvent(now, from, m))
 	case bbtschedule.Done:
@@ -93,8 +93,9 @@
 		e.scheduler.TakeOver(now, from, m)
 	case bbtschedule.Probe:
 		e.election.RecordFollower(now, from)
-		e.send(from, bbtschedule.ProbeReply{Deficits: e.scheduler.Deficits(now), Learned: e.scheduler.Learned(now), Incarnation: e.incarnation()})
+		e.answerProbe(now, from, m)
 	case bbtschedule.ProbeReply:
+		e.registerAgain(now, from, m.Unknown)
 		if owner := e.election.Owner(); from == owner.ID && m.Incarnation == owner.Incarnation && !e.election.IsOwner() {
 			e.ownerDeficitsAt, e.ownerDeficits = now, m.Deficits
 			e.scheduler.SetLearned(now, m.Learned)
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -22,7 +22,9 @@
 	mu       sync.Mutex
 	codec    *bbtpeer.Codec
 	nodes    map[bbtfleet.HostID]*node
-	isolated map[bbtfleet.HostID]bool // hosts without connection to any other
+	isolated map[bbtfleet.HostID]bool                     // hosts without connection to any other
+	cores    map[bbtfleet.HostID]float64                  // processor cores by host; 0 if unknown
+	lose     func(from, to bbtfleet.HostID, msg any) bool // whether a message is lost; nil if none is
 
 	sentTo    map[bbtfleet.HostID]map[bbtfleet.HostID]bool // receivers of any message by sender
 	connected map[bbtfleet.HostID]map[bbtfleet.HostID]bool // hosts connected to without a message, by host
@@ -41,7 +43,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), isolated: make(map[bbtfleet.HostID]bool), sentTo: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool),
+	return &network{codec: codec, nodes: make(map[bbtfleet.HostID]*node), isolated: make(map[bbtfleet.HostID]bool), cores: make(map[bbtfleet.HostID]float64), sentTo: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool),
 		connected: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool)}
 }
 
@@ -87,6 +89,9 @@
 	if target == nil || n.network.isolated[n.id] || n.network.isolated[to] {
 		return true
 	}
+	if n.network.lose != nil && n.network.lose(n.id, to, msg) {
+		return true
+	}
 	decoded, err := n.network.codec.Decode(data)
 	if err != nil {
 		return false
@@ -117,6 +122,13 @@
 	w.isolated[id] = isolated
 }
 
+// setLoss sets which messages are lost.
+func (w *network) setLoss(lose func(from, to bbtfleet.HostID, msg any) bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lose = lose
+}
+
 // store is a platform source that can fail and whose content can change.
 type store struct {
 	mu            sync.Mutex
@@ -211,7 +223,7 @@
 	bounds.ApplyTime, bounds.Lifetime = applyTime, 5*time.Second
 	bounds.RetryWindow, bounds.RetryRatio, bounds.RetrySlack = 10*time.Second, 0.2, 50
 	settings := Settings{
-		Host: id, ListenAddr: string(id) + ":1", CallerPort: "1", PeerPort: 2, Seeds: seeds, FirstStart: firstStart, Bounds: bounds,
+		Host: id, ListenAddr: string(id) + ":1", CallerPort: "1", PeerPort: 2, Seeds: seeds, FirstStart: firstStart, Bounds: bounds, Cores: w.cores[id],
 	}
 	e := New(settings, s, n, WithCounters(bbtmetric.New()))
 	time.Sleep(10 * time.Millisecond) // virtual time, so that edges start one after the other
