--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -32,6 +32,7 @@
 	endpoint        string
 	permitOwner     bbtfleet.HostID // owner that issued the permit
 	permittedAt     time.Time
+	askedAt         time.Time   // when the owner was last asked for the permit, or for a lost reply
 	relocation      *relocation // nil unless another endpoint is looked for
 }
 
--- a/core/bbtentry/relocate.go
+++ b/core/bbtentry/relocate.go
@@ -11,9 +11,10 @@
 // relocation is the search for another endpoint for a request whose endpoint is
 // silent, while its dispatch goes on.
 type relocation struct {
-	id     bbtschedule.RequestID // of its registration
-	permit *bbtschedule.Permit   // nil until it is granted
-	owner  bbtfleet.HostID       // that granted the permit
+	id      bbtschedule.RequestID // of its registration
+	attempt int                   // number of the dispatch that is looked for
+	permit  *bbtschedule.Permit   // nil until it is granted
+	owner   bbtfleet.HostID       // that granted the permit
 }
 
 // Relocate asks the owner for another endpoint for a request whose endpoint is
@@ -28,13 +29,13 @@
 		return []Action{RelocationRefused{id}}
 	}
 	e.lastID++
-	c.relocation = &relocation{id: e.lastID}
+	c.relocation = &relocation{id: e.lastID, attempt: c.dispatchNumber + 1}
 	e.aliases[e.lastID] = id
 	if e.awaitingSince.IsZero() {
 		e.awaitingSince = now
 	}
 	r := c.registration(now)
-	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.dispatchNumber+1, true, c.endpoint
+	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.relocation.attempt, true, c.endpoint
 	r.Exclude = append(slices.Clone(c.triedEndpoints), c.endpoint)
 	return []Action{Send{e.owner, r}}
 }
@@ -58,9 +59,9 @@
 	c.relocation = nil
 	delete(e.aliases, rel.id)
 	if rel.permit == nil {
-		return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: rel.id}}}
+		return []Action{Send{e.owner, bbtschedule.Withdrawal{ID: rel.id, Attempt: rel.attempt}}}
 	}
-	return []Action{Send{rel.owner, bbtschedule.Done{ID: rel.id, Attempt: rel.permit.Attempt, Outcome: bbtschedule.Unused}}}
+	return []Action{Send{rel.owner, bbtschedule.Done{ID: rel.id, Attempt: rel.attempt, Outcome: bbtschedule.Unused}}}
 }
 
 // relocationPermitted records the permit for a relocation.
--- a/core/bbtschedule/relocate.go
+++ b/core/bbtschedule/relocate.go
@@ -3,21 +3,20 @@
 import (
 	"time"
 
-	"bluebelltray/core/bbtfleet"
 	"bluebelltray/core/bbtverdict"
 )
 
 // relocate queues a request whose dispatch goes on at a silent endpoint for another
 // one, behind the timely requests, even if its latency objective is missed. It refuses
 // the request only if no retry is left, since the silent endpoint may answer meanwhile.
-func (s *Scheduler) relocate(now time.Time, from bbtfleet.HostID, sv *service, r Registration) []Action {
+func (s *Scheduler) relocate(now time.Time, sv *service, k key, r Registration) []Action {
 	if e := s.byID[r.Silent]; e != nil {
 		e.recordSilence(now)
 	}
 	if !s.retryBudget.take(now, r.Service, s.shares.limits) {
-		return []Action{{from, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(bbtverdict.ReasonRetryBudget)}}}
+		return []Action{s.refuse(now, k, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(bbtverdict.ReasonRetryBudget)})}
 	}
-	w := newWaiter(now, key{from, r.ID}, r, false)
+	w := newWaiter(now, k, r, false)
 	sv.refresh(now)
 	sv.enqueue(now, w)
 	if e := sv.choose(now, w); e != nil {
@@ -30,7 +29,7 @@
 // is expected.
 func (s *Scheduler) refuseRelocation(now time.Time, w *waiter) Action {
 	s.reclaim(now, w)
-	return Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(bbtverdict.ReasonPoolFull)}}
+	return s.refuse(now, w.key, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(bbtverdict.ReasonPoolFull)})
 }
 
 // reclaim reverses what a request that is dequeued without a permit has used of its
--- a/core/bbtschedule/relocate_test.go
+++ b/core/bbtschedule/relocate_test.go
@@ -64,7 +64,7 @@
 		t.Error("got the caller remembered as refused")
 	}
 	s.Register(now, "host", r)
-	s.Withdraw(now, "host", r.ID)
+	s.Withdraw(now, "host", Withdrawal{ID: r.ID, Attempt: 1})
 	if got := s.retryBudget.remaining(now, r.Service, 1); got != before || s.HasWaiting() {
 		t.Errorf("got %v retries left and waiting %t after a withdrawal, want %v and none", got, s.HasWaiting(), before)
 	}
