bbtpeer: send replies to hosts that are not known yet

Callers of a host that had just started saw no answer until their deadline: its requests went to an owner that it had heard of from another host, and the owner dropped the permits and refusals, as it had not met the host.

Cause: Node.Send refuses a host that is not in the list, though the host has opened a connection and waits on it. Acks of such hosts were dropped, too, which made them look for others: with a transport that knows listed hosts alone, 80 hosts that start send messages to 33 or 34 others each, where TestLargeFleetConvergesAfterAStart allows 30. The stand-in of the transport in io/bbtedge delivered to all, so it showed nothing of this; it knows the list and who has sent a message now, as the transport does.

An accepted connection now gets a link, whoever opened it, until it is closed. Hosts are authenticated by certificate or address before, as they were.

--- a/io/bbtedge/lost_test.go
+++ b/io/bbtedge/lost_test.go
@@ -92,3 +92,32 @@
 		}
 	})
 }
+
+// Guards against requests whose replies are dropped since the owner has not met their
+// host yet: a host that starts learns of the owner from another one, and registers with
+// it at once.
+func TestHostThatTheOwnerHasNotMetGetsReplies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s, owner, other := newPair(t)
+		defer closeAll(owner, other)
+		w.setLoss(func(from, to bbtfleet.HostID, msg any) bool { // the owner hears nothing of c but its requests
+			_, request := msg.(bbtschedule.Registration)
+			return to == "a" && !request
+		})
+		c := w.join("c", s, "b")
+		defer c.Close()
+		for !c.Ready() || c.owner() != "a" {
+			time.Sleep(time.Millisecond)
+		}
+		if got := permitDelay(t, c); got > 50*time.Millisecond {
+			t.Errorf("got a permit after %v, want one within 50ms", got)
+		}
+	})
+}
+
+// owner returns the owner that an edge uses.
+func (e *Edge) owner() bbtfleet.HostID {
+	got := make(chan bbtfleet.HostID)
+	e.post(inspection(func() { got <- e.entry.Owner() }))
+	return <-got
+}
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -35,6 +35,7 @@
 	network *network
 	id      bbtfleet.HostID
 	inbox   chan bbtpeer.Inbound
+	hosts   map[bbtfleet.HostID]bool // as last set
 }
 
 func newNetwork(t *testing.T) *network {
@@ -47,7 +48,16 @@
 		connected: make(map[bbtfleet.HostID]map[bbtfleet.HostID]bool)}
 }
 
-func (n *node) SetHosts([]bbtfleet.Host)  {}
+// SetHosts sets the hosts that messages are sent to, beside those that have sent one.
+func (n *node) SetHosts(hosts []bbtfleet.Host) {
+	n.network.mu.Lock()
+	defer n.network.mu.Unlock()
+	n.hosts = make(map[bbtfleet.HostID]bool, len(hosts))
+	for _, h := range hosts {
+		n.hosts[h.ID()] = true
+	}
+}
+
 func (n *node) Reconnect(bbtfleet.HostID) {}
 
 // Connect records a connection to a host.
@@ -73,7 +83,8 @@
 	return nil
 }
 
-// Send delivers a message unless either host is isolated.
+// Send delivers a message to a host that is known or has sent one, unless either one is
+// isolated.
 func (n *node) Send(to bbtfleet.HostID, msg any) bool {
 	data, err := n.network.codec.Encode(msg)
 	if err != nil {
@@ -81,6 +92,9 @@
 	}
 	n.network.mu.Lock()
 	defer n.network.mu.Unlock()
+	if !n.hosts[to] && !n.network.sentTo[to][n.id] {
+		return false
+	}
 	if n.network.sentTo[n.id] == nil {
 		n.network.sentTo[n.id] = make(map[bbtfleet.HostID]bool)
 	}
--- a/io/bbtpeer/link.go
+++ b/io/bbtpeer/link.go
@@ -15,6 +15,7 @@
 	node  *Node
 	host  bbtfleet.HostID
 	queue chan any
+	ended chan struct{} // closed when the link is of no use any longer
 
 	mu     sync.Mutex
 	conn   *quic.Conn
@@ -26,7 +27,7 @@
 
 // newLink returns a link that is not yet connected.
 func newLink(n *Node, host bbtfleet.HostID) *link {
-	return &link{node: n, host: host, queue: make(chan any, sendQueueSize)}
+	return &link{node: n, host: host, queue: make(chan any, sendQueueSize), ended: make(chan struct{})}
 }
 
 // enqueue queues a message and reports whether the queue had room.
@@ -39,12 +40,14 @@
 	}
 }
 
-// run sends queued messages until the node is closed.
+// run sends queued messages until the link has ended or the node is closed.
 func (l *link) run() {
 	for {
 		select {
 		case <-l.node.ctx.Done():
 			return
+		case <-l.ended:
+			return
 		case msg := <-l.queue:
 			l.send(msg)
 		}
@@ -137,6 +140,13 @@
 	return conn, nil
 }
 
+// connected reports whether there is a live connection to the host.
+func (l *link) connected() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.conn != nil && l.conn.Context().Err() == nil
+}
+
 // setConn makes the link send on conn.
 func (l *link) setConn(conn *quic.Conn) {
 	l.mu.Lock()
--- a/io/bbtpeer/node.go
+++ b/io/bbtpeer/node.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// Send queues a message and reports whether it was queued, which fails for an
-// unknown host or a full queue. A queued message may still be lost.
+// Send queues a message and reports whether it was queued, which fails for a full
+// queue, or an unknown host that has no open connection to this one. A queued message may still be lost.
 func (n *Node) Send(to bbtfleet.HostID, msg any) bool {
 	l, ok := n.link(to)
 	if !ok || !l.enqueue(msg) {
@@ -211,21 +211,58 @@
 	return errors.CombineErrors(err, n.transport.Conn.Close())
 }
 
-// link returns the link to a host, creating it on first use. It fails if the
-// host is unknown.
+// link returns the link to a host. It fails if the host is unknown and has no open
+// connection to this one.
 func (n *Node) link(to bbtfleet.HostID) (*link, bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, ok := n.addrs[to]; !ok {
-		return nil, false
+	if _, known := n.addrs[to]; known {
+		return n.linkTo(to), true
 	}
 	l := n.links[to]
+	return l, l != nil && l.connected()
+}
+
+// linkTo returns the link to a host, creating it on first use. The caller holds mu.
+func (n *Node) linkTo(host bbtfleet.HostID) *link {
+	l := n.links[host]
 	if l == nil {
-		l = newLink(n, to)
-		n.links[to] = l
+		l = newLink(n, host)
+		n.links[host] = l
 		n.wg.Go(l.run)
 	}
-	return l, true
+	return l
+}
+
+// connectionAccepted makes the link to a host, known or not, send on a connection that
+// the host has opened.
+func (n *Node) connectionAccepted(host bbtfleet.HostID, conn *quic.Conn) {
+	n.mu.Lock()
+	l := n.linkTo(host)
+	n.mu.Unlock()
+	l.setConn(conn)
+}
+
+// connectionClosed makes the link to a host open another connection, or ends it if the
+// host is unknown.
+func (n *Node) connectionClosed(host bbtfleet.HostID, conn *quic.Conn) {
+	n.mu.Lock()
+	l := n.links[host]
+	_, known := n.addrs[host]
+	n.mu.Unlock()
+	if l == nil || !l.clearConn(conn) {
+		return
+	}
+	if known {
+		n.reportLost(host)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.addrs[host]; !known && n.links[host] == l && !l.connected() {
+		delete(n.links, host)
+		close(l.ended)
+	}
 }
 
 // peerAddr returns a host's peer address.
@@ -249,10 +286,8 @@
 			conn.CloseWithError(0, err.Error())
 			continue
 		}
+		n.connectionAccepted(host, conn)
 		n.startSession(host, conn)
-		if l, ok := n.link(host); ok {
-			l.setConn(conn)
-		}
 	}
 }
 
--- a/io/bbtpeer/session.go
+++ b/io/bbtpeer/session.go
@@ -25,9 +25,7 @@
 		}
 		s.readStream(stream)
 	}
-	if l, ok := s.node.link(s.host); ok && l.clearConn(s.conn) {
-		s.node.reportLost(s.host)
-	}
+	s.node.connectionClosed(s.host, s.conn)
 }
 
 // readStream delivers a stream's messages to the node's inbox. A message that
