--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -24,6 +24,7 @@
 	initialFailurePause = 250 * time.Millisecond
 	maxPause            = 2 * time.Second
 	rejectionPause      = 60 * time.Millisecond
+	maxSlots            = 1 << 20 // of an endpoint, so that sums over endpoints do not overflow
 )
 
 // endpoint is the state that the owner keeps of one incarnation of a server.
@@ -79,7 +80,7 @@
 	if n <= 0 {
 		n = e.service.record.Slots
 	}
-	n = max(n, 1)
+	n = min(max(n, 1), maxSlots)
 	if share < 1 {
 		n = max(1, int(float64(n)*share))
 	}
