bbtgateway: close the connection of an answer to another request

Reports of other operators: a faulty server wrote an earlier refusal once more on a kept connection; clients were told 'not run' of requests that had run, or such a request ran at a second server.

The first cannot happen here: a response is matched to its request before its refusal is read, and what may run once has a connection of its own. TestRefusalWrittenTwicePromisesNothing writes the refusal again at once, on the idle connection, before and behind the next answer, with and without its ID, as 503, 429 and 421; it passed before. With the match of a refusal's ID taken out (mutation, not kept), or that of answers without an ID on reused connections, it prints "second: got status 503 for a request that was run".

The second can: the stale refusal has no body, so that net/http takes the connection for idle, and the request that was given up goes on at its server while a stream is resumed at, or a request repeated to, the next one. TestConnectionOfAnotherAnswerIsClosed before: /again/a: the endpoint works on 300 ms after the host has given up on its answer /resume/a: the endpoint works on 300 ms after the host has given up on its answer The answer would also have come first on the next use of that connection. The host now closes a connection whose response is not its request's. A request that has taken the connection in between sees it lost, and would have got the wrong answer.

Ruled out: to cancel the request, which does nothing once a response without body has been read; to close all idle connections, since new ones are priced.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -133,6 +133,7 @@
 	case x.headerSent && resp.StatusCode != http.StatusOK:
 		return a.finish(bbtschedule.Failed, true)
 	case a.isMismatched(resp):
+		a.connTrace.closeConn()
 		if a.finish(bbtschedule.Failed, x.route.Retryable()) {
 			return true
 		}
--- a/io/bbtgateway/link.go
+++ b/io/bbtgateway/link.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http/httptrace"
 	"sync/atomic"
 )
@@ -11,6 +12,16 @@
 	connected atomic.Bool // a connection was obtained, so bytes may have been sent
 	reused    atomic.Bool // the connection has carried earlier requests
 	received  atomic.Bool // bytes of a response have arrived
+	conn      atomic.Pointer[net.Conn]
+}
+
+// closeConn closes the connection, so that its endpoint stops to run the request, and
+// no further one is sent over it. The transport takes a connection whose response has
+// no body for idle, even if this is a response to another request.
+func (t *connTrace) closeConn() {
+	if conn := t.conn.Load(); conn != nil {
+		_ = (*conn).Close() // fails if the endpoint has closed it
+	}
 }
 
 // withTrace returns a context that makes the transport report its connection to
@@ -18,6 +29,7 @@
 func (t *connTrace) withTrace(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(c httptrace.GotConnInfo) {
+			t.conn.Store(&c.Conn)
 			t.connected.Store(true)
 			t.reused.Store(c.Reused)
 		},
