bbtgateway: a refusal of an earlier dispatch of the same request promises nothing

A request that an endpoint refused is sent to another one. Where that has the address of the first (an odd entry, or a server that registers anew under another ID), the request went over the same kept connection, and the first refusal, written once more, bears its ID. The caller heard 'not run' of a request that was run: TestRefusalOfTheSameRequestPromisesNothing got status 503 on both routes before, with one run. A second dispatch of a request to an address now has a connection of its own.

What may run once was not affected: it never reuses connections. Not covered: two requests of callers with the same ID on repeatable routes.

--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -99,6 +99,7 @@
 
 	request      *bbtedge.Request
 	fallback     *errorResponse // latest error response, cut to maxBufferedBytes; returned if no further dispatch is granted
+	addrs        []string       // of the endpoints that the request was dispatched to
 	possibleRuns int            // dispatches whose endpoint may have run the request
 	headerSent   bool           // response header has been sent to the caller
 	events       int            // forwarded to the caller
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"bluebelltray"
@@ -78,7 +79,7 @@
 	defer cancel()
 	a := &attempt{exchange: x, dispatch: d, watchdog: x.startWatchdog(cancel)}
 	defer a.watchdog.stop()
-	resp, err := x.transport().RoundTrip(x.newRequest(a.connTrace.withTrace(dispatchCtx), d))
+	resp, err := x.transport(d.Address).RoundTrip(x.newRequest(a.connTrace.withTrace(dispatchCtx), d))
 	if err != nil {
 		return a.roundTripFailed(ctx, err)
 	}
@@ -87,11 +88,14 @@
 	return a.forward(ctx, resp)
 }
 
-// transport returns the transport for the request. Only requests that may be
+// transport returns the transport for a dispatch to addr. Only requests that may be
 // repeated use one that reuses connections, and only if they have an ID, by which
-// a late response to an earlier request is told from their own.
-func (x *exchange) transport() *http.Transport {
-	if x.route.Retryable() && x.head.ID != "" {
+// a late response to an earlier request is told from their own. No ID tells it from a
+// late response to an earlier dispatch of the same request to that address.
+func (x *exchange) transport(addr string) *http.Transport {
+	again := slices.Contains(x.addrs, addr)
+	x.addrs = append(x.addrs, addr)
+	if x.route.Retryable() && x.head.ID != "" && !again {
 		return x.gateway.keepAlive
 	}
 	return x.gateway.singleUse
--- a/io/bbtgateway/stale_test.go
+++ b/io/bbtgateway/stale_test.go
@@ -11,6 +11,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"bluebelltray/core/bbtcatalog"
 )
 
 // Times at which a staleServer writes its refusal once more.
@@ -190,3 +192,23 @@
 		}
 	}
 }
+
+// Guards against a refusal of an earlier dispatch of the same request, which no ID tells
+// from one of the present dispatch, at an address that two endpoints have.
+func TestRefusalOfTheSameRequestPromisesNothing(t *testing.T) {
+	for _, target := range []string{"/again/a", "/resume/a"} {
+		s := &staleServer{status: 503, when: asNext, lost: make(chan struct{}, 9), work: 30 * time.Millisecond}
+		g := newTestGateway(t, 1, s.serve)
+		g.changes <- bbtcatalog.Update{Revision: 2, Changes: []bbtcatalog.Change{{Revision: 2, Endpoint: &bbtcatalog.Endpoint{
+			ID: "i-1", Service: "plain", Slots: 64, Address: g.addrs[0],
+		}}}}
+		<-time.After(20 * time.Millisecond) // until the change is applied
+		resp, body, err := g.send(http.MethodPost, target, "x")
+		if want := "id: 1\ndata: id-1\n\n"; err != nil || resp.StatusCode != 200 || body != want {
+			t.Errorf("%s: got %v %q, %v, want %q", target, resp, body, err, want)
+		}
+		if got := s.runs("id-1"); got != 1 {
+			t.Errorf("%s: got %d runs, want 1", target, got)
+		}
+	}
+}
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -62,6 +62,7 @@
 	server   *httptest.Server
 	changes  chan bbtcatalog.Update // of the published state
 	counters *bbtmetric.Counters
+	addrs    []string // of the endpoints
 	mu       sync.Mutex
 	script   script
 	requests []*http.Request // that reached endpoints
@@ -105,6 +106,7 @@
 	for i := range n {
 		srv := httptest.NewServer(http.HandlerFunc(g.serve))
 		t.Cleanup(srv.Close)
+		g.addrs = append(g.addrs, strings.TrimPrefix(srv.URL, "http://"))
 		u.Changes = append(u.Changes, bbtcatalog.Change{Revision: 1, Endpoint: &bbtcatalog.Endpoint{
 			ID: fmt.Sprintf("i-%d", i), Service: "plain", Slots: 64, Address: strings.TrimPrefix(srv.URL, "http://"),
 		}})
