bbtgateway: a response whose status is not final is no answer

Bytes of a faulty endpoint with the status 000 to 099 or 101 reached the caller's side. Below 100 net/http panics in WriteHeader: the caller's connection was closed without an answer, and where the body was long the dispatch never ended, so that its slot stayed taken at the owner and the request in hand. 101 was forwarded to callers that had not asked for it.

Such a response now counts as not the request's: what may be repeated is, all else gets 502. Statuses from 600 on are forwarded as the endpoint gave them.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -177,10 +177,11 @@
 
 // isMismatched reports whether the response cannot be the endpoint's response
 // to this request: it has the ID of another request (or none, on a reused
-// connection), has a content encoding, which callers and endpoints never use, or
-// is a success without the header that endpoints set on every success.
+// connection), has a status that is not final, a content encoding, which callers and
+// endpoints never use, or is a success without the header that endpoints set on every
+// success.
 func (a *attempt) isMismatched(resp *http.Response) bool {
-	if a.isForeign() {
+	if a.isForeign() || resp.StatusCode < http.StatusOK {
 		return true
 	}
 	if resp.Header.Get("Content-Encoding") != "" {
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -62,6 +62,7 @@
 	server   *httptest.Server
 	changes  chan bbtcatalog.Update // of the published state
 	counters *bbtmetric.Counters
+	edge     *bbtedge.Edge
 	addrs    []string // of the endpoints
 	mu       sync.Mutex
 	script   script
@@ -116,6 +117,7 @@
 	e := bbtedge.New(bbtedge.Settings{Host: "10.0.0.1", ListenAddr: "10.0.0.1:1", CallerPort: "1", FirstStart: true, Bounds: bounds},
 		testSource{u, g.changes}, noPeers{make(chan bbtpeer.Inbound), make(chan bbtfleet.HostID)}, bbtedge.WithCounters(counters))
 	t.Cleanup(e.Close)
+	g.edge = e
 	g.server = httptest.NewServer(bbtgateway.New(e, testDialect{}, bbtgateway.WithCounters(counters)))
 	t.Cleanup(g.server.Close)
 	for !e.Ready() {
