bbtgateway: a test waits for the end of a dispatch to be reported

TestStatusThatIsNotFinalIsNoAnswer was flaky: 2 of 48 cases "got 1 requests in hand after the answer, want 0" in one run of the package with -race. The answer that the caller gets states its length, so that the caller may have read all of it before its host reports the end of the dispatch. The test now waits a second for that.

--- a/io/bbtgateway/status_test.go
+++ b/io/bbtgateway/status_test.go
@@ -7,12 +7,29 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"bluebelltray/io/bbtedge"
 )
 
-// requestsInHand returns the number of requests that have not ended for the scheduler.
+// requestsInHand returns the number of requests that have not ended for the scheduler. It
+// waits a second for none: a caller may have read the last byte of an answer before the
+// end of its dispatch is reported.
 func (g *testGateway) requestsInHand() int {
+	g.t.Helper()
+	n := g.countInHand()
+	for range 100 {
+		if n == 0 {
+			break
+		}
+		<-time.After(10 * time.Millisecond)
+		n = g.countInHand()
+	}
+	return n
+}
+
+// countInHand returns the number of requests that have not ended for the scheduler.
+func (g *testGateway) countInHand() int {
 	g.t.Helper()
 	w := httptest.NewRecorder()
 	g.edge.StatusPage().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/status", nil))
