bbtentry: send nothing to endpoints that say they are draining

Callers of a host that had just passed on an answer in which an endpoint said that it is about to end were sent to this endpoint all the same, until its entry in the store said so, and for good where no entry did. Requests were cut off as the endpoint ended.

Cause: only the published entry was read. What an endpoint says in its answers (Server-Leaving: 1) was passed on to the caller, unread.

Now the host that gets such an answer keeps it itself, as soon as the head is read. A permit for that endpoint, from an owner that does not know yet or from the host's own scheduler while it is cut off, is returned as unused, and the request asks the same owner again without the endpoint. That is no attempt: the number of the attempt stays, the account's cost is refunded and charged again, and the owner does not count the request or the retry in the budget a second time (Counted). A former owner's permit is returned without asking again, since the request waits elsewhere. A request returns 16 permits at most, then it is refused, should an owner not learn. The owner learns with the reports on the dispatch and with each returned permit, the next owner from every host's takeover; it then takes the endpoint for draining for all hosts. No new kind of message is needed, so hosts of both versions understand each other.

What was said holds for an incarnation: ID, start time and address, which permits name now, and not for the entry. One that is gone, late, put again or back from a copy of the store opens no gate; a later start does, and so does another address at the same start. An earlier start does not, since an owner with an old view names it. A mark is forgotten ten minutes after the ID was last listed; 4,096 are kept, and at the bound the quarter that was seen longest ago goes.

An answer to another request (foreign ID) or of another server (421) says nothing. Other values of the header are ignored, counted, and logged once for an endpoint; beside a repeated 1 they change nothing.

On the new process test TestServerThatLeavesGetsNoFurtherRequest printed "got 200 of 200 requests at the server that leaves, want none". With the host's gate taken out, TestPermitForDrainingEndpointIsReturned "want no dispatch", TestOwnerThatWasNotToldPlacesTheRequestAgain "got endpoint "i-0"" for five of ten requests; with the owner's knowledge taken out, TestDrainingEndpointGetsNoPermits (four ways of telling) and "got 9 permits returned, want 1". All pass with it, with -race.

Sizes, encoded: a permit 75 bytes instead of 65; a report or takeover 45 bytes more for an endpoint that is draining.

--- a/core/bbtentry/action.go
+++ b/core/bbtentry/action.go
@@ -25,6 +25,13 @@
 	Endpoint string
 	Address  string // IP:port
 	Decision Decision
+
+	StartTimeMS int64 // of the endpoint's incarnation
+}
+
+// incarnation returns the incarnation of the endpoint.
+func (d Dispatch) incarnation() bbtschedule.Incarnation {
+	return bbtschedule.Incarnation{Endpoint: d.Endpoint, Address: d.Address, StartTimeMS: d.StartTimeMS}
 }
 
 // Decision is the state on which an owner based a permit or a refusal.
@@ -50,7 +57,19 @@
 	Silence time.Duration
 }
 
+// EndpointDrains reports that an endpoint has said to this host, for the first time,
+// that it is draining.
+type EndpointDrains struct{ Endpoint string }
+
+// PermitReturned reports that a permit was returned, since its endpoint is draining.
+type PermitReturned struct {
+	ID       bbtschedule.RequestID
+	Endpoint string
+}
+
 func (Send) action()              {}
 func (Dispatch) action()          {}
 func (Fail) action()              {}
 func (OwnerUnresponsive) action() {}
+func (EndpointDrains) action()    {}
+func (PermitReturned) action()    {}
--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -29,8 +29,11 @@
 	running         bool
 	responseStarted bool
 	endpoint        string
-	permitOwner     bbtfleet.HostID // owner that issued the permit
+	incarnation     bbtschedule.Incarnation // of endpoint
+	permitOwner     bbtfleet.HostID         // owner that issued the permit
 	permittedAt     time.Time
+	returned        int             // permits returned
+	countedBy       bbtfleet.HostID // owner that has counted the dispatch that is requested, as its permit was returned; empty if none has
 }
 
 // timeLeft returns the time until the deadline.
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -42,12 +42,13 @@
 	limitUsage    usage
 	learned       bbtschedule.Learned // for the next owner
 	limits        limits
+	draining      *bbtschedule.Draining // endpoints that have said so to this host
 }
 
 // New returns an entry without requests. Request IDs start after baseID, so that a
 // new process does not reuse those of an earlier one.
 func New(baseID bbtschedule.RequestID, b bbtcatalog.Bounds) *Entry {
-	return &Entry{calls: make(map[bbtschedule.RequestID]*call), lastID: baseID, limitUsage: newUsage(b), limits: newLimits()}
+	return &Entry{calls: make(map[bbtschedule.RequestID]*call), lastID: baseID, limitUsage: newUsage(b), limits: newLimits(), draining: bbtschedule.NewDraining()}
 }
 
 // Owner returns the host that issues permits; empty if there is none.
@@ -75,7 +76,9 @@
 	if e.awaitingSince.IsZero() {
 		e.awaitingSince = now
 	}
-	return []Action{Send{e.owner, c.registration(now)}}
+	r := c.registration(now)
+	r.Counted = c.countedBy == e.owner
+	return []Action{Send{e.owner, r}}
 }
 
 // fail removes a request and reports its failure in a Fail action.
@@ -103,7 +106,7 @@
 		return nil
 	}
 	t := e.limitUsage.takeover(now)
-	t.Learned, t.Limits = e.learned, e.limits.takeover(now)
+	t.Learned, t.Limits, t.Draining = e.learned, e.limits.takeover(now), e.draining.List()
 	var out []Action
 	for _, id := range e.sortedIDs() {
 		c := e.calls[id]
@@ -134,7 +137,8 @@
 }
 
 // PermitReceived handles a permit. A permit that no request waits for, or whose
-// request has reached its deadline, is returned to the sender as unused.
+// request has reached its deadline, is returned to the sender as unused, and so is one
+// for an endpoint that has told this host that it is draining.
 func (e *Entry) PermitReceived(now time.Time, from bbtfleet.HostID, p bbtschedule.Permit) []Action {
 	c := e.calls[p.ID]
 	if c == nil || c.running || c.dispatchNumber != p.Attempt {
@@ -144,9 +148,13 @@
 		out := []Action{Send{from, bbtschedule.Done{ID: p.ID, Attempt: p.Attempt, Outcome: bbtschedule.Unused}}}
 		return append(out, e.fail(c, bbtverdict.ReasonTimeout, 0)...)
 	}
+	if e.draining.Has(p.Incarnation()) {
+		return e.returnPermit(now, from, c, p)
+	}
 	e.limitUsage.count(now, c)
+	c.incarnation, c.countedBy = p.Incarnation(), ""
 	c.running, c.responseStarted, c.endpoint, c.permittedAt, c.permitOwner = true, false, p.Endpoint, now, from
-	return []Action{Dispatch{ID: c.id, Attempt: c.dispatchNumber, Endpoint: p.Endpoint, Address: p.Address,
+	return []Action{Dispatch{ID: c.id, Attempt: c.dispatchNumber, Endpoint: p.Endpoint, Address: p.Address, StartTimeMS: p.StartTimeMS,
 		Decision: Decision{Owner: from, Running: p.Running}}}
 }
 
@@ -170,7 +178,7 @@
 	}
 	e.limits.record(now, c.endpoint, l)
 	c.responseStarted = true
-	return []Action{Send{e.owner, bbtschedule.FirstEvent{ID: id, Limit: l}}}
+	return []Action{Send{e.owner, bbtschedule.FirstEvent{ID: id, Limit: l, Draining: e.drainingOf(c)}}}
 }
 
 // DispatchEnded records the end of a dispatch. retry states that the request may be
@@ -183,7 +191,7 @@
 		return nil
 	}
 	e.limits.record(now, c.endpoint, d.Limit)
-	d.ID, d.Attempt = c.id, c.dispatchNumber
+	d.ID, d.Attempt, d.Draining = c.id, c.dispatchNumber, e.drainingOf(c)
 	out := []Action{Send{e.owner, d}}
 	if c.permitOwner != e.owner && c.permitOwner != "" {
 		out = append(out, Send{c.permitOwner, d})
--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -31,6 +31,7 @@
 	record              bbtcatalog.Endpoint
 	service             *service
 	zoneOut             bool // its availability zone is out of service
+	saysDraining        bool // it has said in an answer that it is draining
 	running             map[key]*run
 	prefillDoneAt       time.Time // predicted end of the prefill of all prompts sent
 	pending             int       // runs without a first event
@@ -95,7 +96,7 @@
 // available reports whether the endpoint accepts requests now, regardless of
 // its free slots.
 func (e *endpoint) available(now time.Time) bool {
-	return !e.record.Draining && !e.zoneOut && !now.Before(e.pausedUntil)
+	return !e.draining() && !e.zoneOut && !now.Before(e.pausedUntil)
 }
 
 // hasRoom reports whether the endpoint can take one more request now.
--- a/core/bbtschedule/grant.go
+++ b/core/bbtschedule/grant.go
@@ -101,5 +101,6 @@
 	e.startRun(now, r)
 	return Action{w.key.host, Permit{
 		ID: w.reg.ID, Attempt: w.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, SpeedEstimate: e.speed(), Running: len(e.running),
+		StartTimeMS: e.record.StartTimeMS,
 	}}
 }
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -29,6 +29,7 @@
 	EffectiveObjective   time.Duration `cbor:"17,keyasint,omitempty"` // latency objective from arrival to first event; the request's timeout if the route has none
 	ExpectedOutputTokens int           `cbor:"19,keyasint,omitempty"` // as given by the caller; 0 if unknown
 	Zone                 string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that received the request
+	Counted              bool          `cbor:"20,keyasint,omitempty"` // the owner has counted it before, and its permit was returned
 }
 
 // PromptBlock is a block of a prompt that several requests may share.
@@ -50,8 +51,12 @@
 	Address       string        `cbor:"4,keyasint"`
 	SpeedEstimate SpeedEstimate `cbor:"5,keyasint,omitzero"`
 	Running       int           `cbor:"6,keyasint,omitempty"` // requests at the endpoint, this one included
+	StartTimeMS   int64         `cbor:"7,keyasint,omitempty"` // of the endpoint's incarnation
 }
 
+// Incarnation returns the incarnation of the endpoint that the permit is for.
+func (p Permit) Incarnation() Incarnation { return Incarnation{p.Endpoint, p.Address, p.StartTimeMS} }
+
 // SpeedEstimate is the speed of an endpoint as the owner has measured it.
 // Permits carry it to the hosts, so that the next owner need not measure it
 // again.
@@ -75,8 +80,9 @@
 // FirstEvent reports that the first event of a request's answer, or the whole
 // answer of a plain call, has arrived.
 type FirstEvent struct {
-	ID    RequestID   `cbor:"1,keyasint"`
-	Limit StatedLimit `cbor:"2,keyasint,omitzero"`
+	ID       RequestID   `cbor:"1,keyasint"`
+	Limit    StatedLimit `cbor:"2,keyasint,omitzero"`
+	Draining Incarnation `cbor:"3,keyasint,omitzero"` // the endpoint, if it has said to the host that it is draining
 }
 
 // StatedLimit is the rate of requests that an endpoint states in an answer to take
@@ -109,12 +115,13 @@
 
 // Done reports the end of the dispatch under a permit.
 type Done struct {
-	ID      RequestID     `cbor:"1,keyasint"`
-	Attempt int           `cbor:"2,keyasint,omitempty"`
-	Outcome Outcome       `cbor:"3,keyasint,omitempty"`
-	Events  int           `cbor:"4,keyasint,omitempty"`
-	Span    time.Duration `cbor:"5,keyasint,omitempty"` // from the first event to the last
-	Limit   StatedLimit   `cbor:"6,keyasint,omitzero"`  // unless a FirstEvent has reported it
+	ID       RequestID     `cbor:"1,keyasint"`
+	Attempt  int           `cbor:"2,keyasint,omitempty"`
+	Outcome  Outcome       `cbor:"3,keyasint,omitempty"`
+	Events   int           `cbor:"4,keyasint,omitempty"`
+	Span     time.Duration `cbor:"5,keyasint,omitempty"` // from the first event to the last
+	Limit    StatedLimit   `cbor:"6,keyasint,omitzero"`  // unless a FirstEvent has reported it
+	Draining Incarnation   `cbor:"7,keyasint,omitzero"`  // the endpoint, if it has said to the host that it is draining
 }
 
 // Takeover reports to a new owner the dispatches in progress and the usage
@@ -125,6 +132,8 @@
 	Retries      []Usage   `cbor:"3,keyasint,omitempty"`
 	Learned      Learned   `cbor:"4,keyasint,omitzero"`
 	Limits       []Limit   `cbor:"5,keyasint,omitempty"` // that endpoints stated to this host
+
+	Draining []Incarnation `cbor:"6,keyasint,omitempty"` // endpoints that have said so to this host
 }
 
 // Limit is what an endpoint stated in its latest answer to a host.
--- a/core/bbtschedule/order.go
+++ b/core/bbtschedule/order.go
@@ -143,7 +143,7 @@
 // addFastest adds an endpoint to the fastest ones if it is among them, or if the
 // service is small.
 func (o *order) addFastest(e *endpoint) {
-	if e.record.Draining || e.zoneOut {
+	if e.draining() || e.zoneOut {
 		return
 	}
 	prefill, gap := e.timings()
--- a/core/bbtschedule/register.go
+++ b/core/bbtschedule/register.go
@@ -23,10 +23,10 @@
 	if s.suspects.banned(now, &r) {
 		return refuse(bbtverdict.ReasonCrashesEndpoints, 0)
 	}
-	if r.Attempt == 0 {
+	if r.Attempt == 0 && !r.Counted {
 		s.retryBudget.countRequest(now, r.Service)
 	}
-	if r.Retry && !s.retryBudget.take(now, r.Service, s.shares.limits) {
+	if r.Retry && !r.Counted && !s.retryBudget.take(now, r.Service, s.shares.limits) {
 		return refuse(bbtverdict.ReasonRetryBudget, 0)
 	}
 	returning := s.backoff.wasRefused(now, r.Fingerprint)
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -8,6 +8,7 @@
 
 // FirstEvent records the first event of a run.
 func (s *Scheduler) FirstEvent(now time.Time, from bbtfleet.HostID, f FirstEvent) []Action {
+	s.recordDraining(now, f.Draining)
 	r := s.runs[key{from, f.ID}]
 	if r == nil {
 		return nil
@@ -21,6 +22,7 @@
 
 // Done records the end of a run.
 func (s *Scheduler) Done(now time.Time, from bbtfleet.HostID, d Done) []Action {
+	s.recordDraining(now, d.Draining)
 	r := s.runs[key{from, d.ID}]
 	if r == nil || r.reg.Attempt != d.Attempt {
 		return nil
@@ -98,6 +100,9 @@
 			s.recordStated(now, now.Add(-l.Age), e, l.Limit)
 		}
 	}
+	for _, i := range t.Draining {
+		s.recordDraining(now, i)
+	}
 	s.AddUsage(now, t.AccountUsage)
 	for _, usage := range t.Retries {
 		s.retryBudget.meter(s.retryBudget.retries, usage.Service).Add(now, usage.Age, usage.Amount)
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -55,6 +55,7 @@
 	meters      map[string]*Meter // by client account
 	retryBudget retryBudget
 	suspects    *suspects
+	draining    *Draining
 	backoff     backoff
 	unreported  []*crash // by time
 	notices     []Notice
@@ -88,6 +89,7 @@
 		meters:      make(map[string]*Meter),
 		retryBudget: newRetryBudget(b),
 		suspects:    newSuspects(),
+		draining:    NewDraining(),
 		backoff:     newBackoff(),
 		lowered:     make(map[string]baseline),
 	}
@@ -145,6 +147,7 @@
 		}
 	}
 	s.hasCatalog = true
+	s.draining.Keep(now, func(id string) bool { return keep[id] })
 	return s.grantAll(now)
 }
 
@@ -179,4 +182,5 @@
 		sv.order.refreshedAt = time.Time{}
 	}
 	e.record, e.zoneOut = l.Endpoint, l.ZoneOutOfService
+	e.setSaysDraining(s.draining.Has(incarnationOf(l.Endpoint)))
 }
--- a/core/bbtschedule/service.go
+++ b/core/bbtschedule/service.go
@@ -90,7 +90,7 @@
 		consider(e)
 	}
 	for _, e := range sv.holders.of(r.PromptBlocks) {
-		if !e.removed && !e.record.Draining && !e.zoneOut {
+		if !e.removed && !e.draining() && !e.zoneOut {
 			consider(e)
 		}
 	}
--- a/dialect.go
+++ b/dialect.go
@@ -54,6 +54,9 @@
 	ID                string  // of the request that the endpoint responded to
 	NotRun            bool    // the endpoint did not execute the request
 	HasEndpointHeader bool    // the response has the header that endpoints set on every success
+	Draining          bool    // the endpoint says that it takes no new requests, since it is about to end
 	Limited           bool    // the endpoint states a limit
 	PerSecond         float64 // limit, requests that it takes from all hosts together
+
+	Ignored []string // names of headers whose values are not understood
 }
--- a/io/bbtedge/catalog.go
+++ b/io/bbtedge/catalog.go
@@ -96,4 +96,5 @@
 	e.ready.Store(ix.Config() != nil)
 	e.doScheduler(e.scheduler.SetCatalog(now, ix, e.catalog.Endpoints(now)))
 	e.entry.KeepLimits(e.scheduler.HasEndpoint)
+	e.entry.KeepDraining(now, e.scheduler.HasEndpoint)
 }
--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bluebelltray/core/bbtcatalog"
+	"bluebelltray/core/bbtentry"
 	"bluebelltray/core/bbtschedule"
 	"go.uber.org/zap"
 )
@@ -30,6 +31,10 @@
 	retry bool
 }
 
+// endpointDraining reports that the endpoint of a dispatch has said in its answer that
+// it is draining.
+type endpointDraining struct{ dispatch bbtentry.Dispatch }
+
 // requestCancelled reports that the caller has cancelled a request.
 type requestCancelled struct{ req *Request }
 
@@ -63,6 +68,10 @@
 	}
 }
 
+func (ev endpointDraining) apply(e *Edge, now time.Time) {
+	e.doEntry(now, e.entry.EndpointDraining(now, ev.dispatch))
+}
+
 func (ev requestCancelled) apply(e *Edge, now time.Time) {
 	delete(e.requests, ev.req.id)
 	e.doEntry(now, e.entry.Cancel(ev.req.id))
--- a/io/bbtedge/flight.go
+++ b/io/bbtedge/flight.go
@@ -53,6 +53,10 @@
 // limit that the endpoint states in it.
 func (r *Request) ResponseStarted(l bbtschedule.StatedLimit) { r.edge.post(started{r, l}) }
 
+// EndpointDraining reports that the endpoint of a dispatch has said in its answer that
+// it is draining.
+func (r *Request) EndpointDraining(d bbtentry.Dispatch) { r.edge.post(endpointDraining{d}) }
+
 // DispatchEnded reports the end of a dispatch. If retry is true, Next returns the
 // next dispatch or a refusal.
 func (r *Request) DispatchEnded(d bbtschedule.Done, retry bool) { r.edge.post(ended{r, d, retry}) }
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -24,6 +24,11 @@
 			err := bbtverdict.New(bbtverdict.NotRun, a.Reason, bbtverdict.WithRetryAfter(a.RetryAfter))
 			e.reply(a.ID, reply{dispatch: bbtentry.Dispatch{Decision: a.Decision}, err: err})
 			delete(e.requests, a.ID)
+		case bbtentry.EndpointDrains:
+			e.counters.Add("endpoints-say-draining", 1)
+			e.log.Info("endpoint says draining", zap.String("endpoint", a.Endpoint))
+		case bbtentry.PermitReturned:
+			e.counters.Add("permits-returned-draining", 1)
 		case bbtentry.OwnerUnresponsive:
 			e.log.Warn("owner silent", zap.String("peer", string(a.Host)), zap.Duration("for", a.Silence))
 			e.counters.Add("owners-silent", 1)
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -51,13 +51,18 @@
 	return l
 }
 
-// readHead parses the head of the response. The head of a response to another request,
-// or of another server, does not tell the limit of the endpoint.
+// readHead parses the head of the response and reports what the endpoint says of itself.
+// The head of a response to another request, or of another server, tells nothing of the
+// endpoint.
 func (a *attempt) readHead(resp *http.Response) {
 	a.responseHead = a.exchange.gateway.dialect.ParseResponse(resp)
 	if resp.StatusCode == http.StatusMisdirectedRequest || a.isForeign() {
 		return
 	}
+	a.countIgnored()
+	if a.responseHead.Draining {
+		a.exchange.request.EndpointDraining(a.dispatch)
+	}
 	a.limit = bbtschedule.StatedLimit{Answered: true, Limited: a.responseHead.Limited, PerSecond: a.responseHead.PerSecond}
 }
 
--- a/io/bbtgateway/dialect_test.go
+++ b/io/bbtgateway/dialect_test.go
@@ -38,7 +38,12 @@
 // ParseResponse parses the headers of an endpoint's response.
 func (testDialect) ParseResponse(resp *http.Response) bluebelltray.ResponseHead {
 	limit, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
+	var ignored []string
+	if resp.Header.Get("Draining") == "maybe" {
+		ignored = []string{"Draining"}
+	}
 	return bluebelltray.ResponseHead{
+		Draining: resp.Header.Get("Draining") == "yes", Ignored: ignored,
 		Limited: err == nil, PerSecond: limit,
 		ID: resp.Header.Get("Call-Id"), NotRun: resp.Header.Get("Not-Run") != "", HasEndpointHeader: resp.Header.Get("Answer-Seal") != "",
 	}
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -36,6 +36,7 @@
 	singleUse *http.Transport // for requests that run at most once; opens a connection for each dispatch
 	keepAlive *http.Transport // for requests that may be repeated; reuses connections
 	active    atomic.Int64
+	ignored   ignoredHeaders
 }
 
 // Option configures a Gateway.
