--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -30,10 +30,12 @@
 	running         bool
 	responseStarted bool
 	endpoint        string
-	permitOwner     bbtfleet.HostID // owner that issued the permit
+	incarnation     bbtschedule.Incarnation // of endpoint
+	permitOwner     bbtfleet.HostID         // owner that issued the permit
 	permittedAt     time.Time
 	askedAt         time.Time   // when the owner was last asked for the permit, or for a lost reply
 	relocation      *relocation // nil unless another endpoint is looked for
+	returned        int         // permits returned
 }
 
 // timeLeft returns the time until the deadline.
--- a/core/bbtentry/lossy_test.go
+++ b/core/bbtentry/lossy_test.go
@@ -54,14 +54,16 @@
 	waiting    map[bbtschedule.RequestID]time.Time // since when
 	running    []attempt
 	dispatched map[attempt]bool
+	dispatch   map[bbtschedule.RequestID]bbtentry.Dispatch // the latest one
 	ended      map[bbtschedule.RequestID]bool
+	drained    map[string]bool // endpoints that have said that they are draining
 }
 
 func newLossyWorld(t *rapid.T) *lossyWorld {
 	b := bbtcatalog.Bounds{RateWindow: time.Hour, RetryWindow: time.Hour, RetryRatio: 1, RetrySlack: retrySlack}
 	w := &lossyWorld{
 		t: t, now: start, entry: bbtentry.New(0, b), scheduler: bbtschedule.New(b),
-		waiting: make(map[bbtschedule.RequestID]time.Time), dispatched: make(map[attempt]bool), ended: make(map[bbtschedule.RequestID]bool),
+		waiting: make(map[bbtschedule.RequestID]time.Time), dispatched: make(map[attempt]bool), dispatch: make(map[bbtschedule.RequestID]bbtentry.Dispatch), ended: make(map[bbtschedule.RequestID]bool), drained: make(map[string]bool),
 	}
 	var listed []bbtcatalog.ListedEndpoint
 	for _, id := range []string{"i-0", "i-1", "i-2"} {
@@ -87,6 +89,7 @@
 				w.t.Fatalf("got a second dispatch of %v, or one after the end", at)
 			}
 			w.dispatched[at] = true
+			w.dispatch[a.ID] = a
 			w.running = append(w.running, at)
 			delete(w.waiting, a.ID)
 		case bbtentry.Fail:
@@ -271,6 +274,13 @@
 				w.retries++
 				w.doEntry(w.entry.Relocate(w.now, at.id, at.number))
 			},
+			"drains": func(t *rapid.T) {
+				if len(w.drained) < 2 { // one of three endpoints stays
+					d := w.dispatch[w.running[index(t, len(w.running))].id]
+					w.drained[d.Endpoint] = true
+					w.doEntry(w.entry.EndpointDraining(w.now, d))
+				}
+			},
 			"goes on": func(t *rapid.T) {
 				w.doEntry(w.entry.CancelRelocation(w.running[index(t, len(w.running))].id))
 			},
--- a/core/bbtschedule/repeat.go
+++ b/core/bbtschedule/repeat.go
@@ -74,5 +74,6 @@
 // permit returns the permit of the run.
 func (r *run) permit() Permit {
 	e := r.endpoint
-	return Permit{ID: r.key.id, Attempt: r.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, SpeedEstimate: e.speed(), Running: len(e.running)}
+	return Permit{ID: r.key.id, Attempt: r.reg.Attempt, Endpoint: e.record.ID, Address: e.record.Address, SpeedEstimate: e.speed(), Running: len(e.running),
+		StartTimeMS: e.record.StartTimeMS}
 }
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -8,6 +8,7 @@
 
 // FirstEvent records the first event of a run.
 func (s *Scheduler) FirstEvent(now time.Time, from bbtfleet.HostID, f FirstEvent) []Action {
+	s.recordDraining(now, f.Draining)
 	r := s.runs[key{from, f.ID}]
 	if r == nil {
 		return nil
@@ -21,11 +22,14 @@
 
 // Done records the end of a run.
 func (s *Scheduler) Done(now time.Time, from bbtfleet.HostID, d Done) []Action {
+	s.recordDraining(now, d.Draining)
 	r := s.runs[key{from, d.ID}]
 	if r == nil || r.reg.Attempt != d.Attempt {
 		return nil
 	}
-	s.settled.put(now, r.key, settlement{attempt: d.Attempt})
+	// The request of a permit that is returned since its endpoint is draining is registered again.
+	returned := d.Outcome == Unused && d.Draining != (Incarnation{})
+	s.settled.put(now, r.key, settlement{attempt: d.Attempt, forgotten: returned})
 	if d.Outcome == Unused && r.firstEvent {
 		d.Outcome = Cancelled // a permit that came twice was returned; the other one was used
 	}
@@ -110,6 +114,9 @@
 			s.recordStated(now, now.Add(-l.Age), e, l.Limit)
 		}
 	}
+	for _, i := range t.Draining {
+		s.recordDraining(now, i)
+	}
 	s.AddUsage(now, t.AccountUsage)
 	for _, usage := range t.Retries {
 		s.retryBudget.meter(s.retryBudget.retries, usage.Service).Add(now, usage.Age, usage.Amount)
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -28,6 +28,11 @@
 			e.answerRelocation(a.ID, true)
 		case bbtentry.RelocationRefused:
 			e.answerRelocation(a.ID, false)
+		case bbtentry.EndpointDrains:
+			e.counters.Add("endpoints-say-draining", 1)
+			e.log.Info("endpoint says draining", zap.String("endpoint", a.Endpoint))
+		case bbtentry.PermitReturned:
+			e.counters.Add("permits-returned-draining", 1)
 		case bbtentry.OwnerUnresponsive:
 			e.log.Warn("owner silent", zap.String("peer", string(a.Host)), zap.Duration("for", a.Silence))
 			e.counters.Add("owners-silent", 1)
