bbtschedule: tell an owner again what it lacks of a host

Callers saw refusals by endpoints, and queues elsewhere, after an owner had lost what runs for a host: it gave endpoints more requests than their slots bear, until those that it did not know had ended.

Cause: a host tells what runs, and what was used of the limits, once, when it changes its owner. The owner does not know it if that message is lost, if it restarts at its address (hosts see no change of owner then), or if it took the host for dead for a moment and dropped its dispatches.

The reply to a Probe says what the owner lacks: nothing; the dispatches, of a host that it took for dead; or everything, if no Takeover of the host has reached the process. The host then repeats it. What a host used is kept apart for the present owner, which has counted it, and for former ones and earlier processes of the present one. A Takeover does not end runs whose permits may be on their way or that came after it, nor is a request charged again whose run it ended.

A restarted owner may exceed slots until the first probe, 0.5 s.

--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -33,6 +33,7 @@
 // Entry tracks the requests of one host. It is not safe for concurrent use.
 type Entry struct {
 	owner         bbtfleet.HostID
+	ownerProcess  uint64    // its incarnation by its latest ProbeReply; 0 if none arrived
 	lastHeard     time.Time // when the last message from the owner arrived or, if later, it became the owner
 	lastProbe     time.Time // when the owner was last sent a probe
 	awaitingSince time.Time // since when a reply from the owner is pending; zero if none is
@@ -100,11 +101,13 @@
 		return nil
 	}
 	e.owner, e.lastHeard, e.lastProbe, e.awaitingSince = owner, now, time.Time{}, time.Time{}
+	e.ownerProcess = 0
+	e.limitUsage.ownerChanged(now)
 	if owner == "" {
 		return nil
 	}
 	t := e.limitUsage.takeover(now)
-	t.Learned, t.Limits = e.learned, e.limits.takeover(now)
+	t.Learned, t.Limits, t.Last = e.learned, e.limits.takeover(now), e.lastID
 	var out []Action
 	for _, id := range e.sortedIDs() {
 		c := e.calls[id]
--- a/core/bbtentry/pending.go
+++ b/core/bbtentry/pending.go
@@ -32,14 +32,11 @@
 	return out
 }
 
-// Unknown handles the registrations that an owner does not know, which were lost with
-// a message or with an earlier process of the owner. It registers the requests again.
-func (e *Entry) Unknown(now time.Time, from bbtfleet.HostID, list []bbtschedule.Pending) []Action {
-	if from != e.owner {
-		return nil
-	}
+// registerAgain registers the requests that the owner does not know, whose
+// registrations were lost with a message or with an earlier process of the owner.
+func (e *Entry) registerAgain(now time.Time, unknown []bbtschedule.Pending) []Action {
 	var out []Action
-	for _, p := range list[:min(len(list), bbtschedule.MaxPending)] {
+	for _, p := range unknown[:min(len(unknown), bbtschedule.MaxPending)] {
 		if c := e.calls[p.ID]; c != nil && !c.running && c.dispatchNumber == p.Attempt {
 			out = append(out, e.register(now, c)...)
 		}
--- a/core/bbtentry/uses.go
+++ b/core/bbtentry/uses.go
@@ -10,23 +10,33 @@
 // usage counts how much of the fleet's limits this host's requests used, so that a
 // new owner can be informed.
 type usage struct {
-	bounds   bbtcatalog.Bounds
+	bounds bbtcatalog.Bounds
+	former meters // under former owners
+	own    meters // under the present owner, which counts it as well
+}
+
+// meters are usage counts.
+type meters struct {
 	accounts map[string]*bbtschedule.Meter // by client account
 	retries  map[string]*bbtschedule.Meter // by service
 }
 
+func newMeters() meters {
+	return meters{accounts: make(map[string]*bbtschedule.Meter), retries: make(map[string]*bbtschedule.Meter)}
+}
+
 func newUsage(b bbtcatalog.Bounds) usage {
-	return usage{bounds: b, accounts: make(map[string]*bbtschedule.Meter), retries: make(map[string]*bbtschedule.Meter)}
+	return usage{bounds: b, former: newMeters(), own: newMeters()}
 }
 
 // count records the usage of a dispatch.
 func (u *usage) count(now time.Time, c *call) {
 	r := &c.submission.Registration
 	if r.Account != "" && c.dispatchNumber == 0 {
-		meter(u.accounts, r.Account, u.bounds.RateWindow).Add(now, 0, r.Cost)
+		meter(u.own.accounts, r.Account, u.bounds.RateWindow).Add(now, 0, r.Cost)
 	}
 	if c.dispatched > 0 {
-		meter(u.retries, r.Service, u.bounds.RetryWindow).Add(now, 0, 1)
+		meter(u.own.retries, r.Service, u.bounds.RetryWindow).Add(now, 0, 1)
 	}
 }
 
@@ -40,15 +50,28 @@
 	return m
 }
 
-// takeover returns the recorded usage for a new owner.
+// ownerChanged records that another process is the owner.
+func (u *usage) ownerChanged(now time.Time) {
+	for name, m := range u.own.accounts {
+		former := meter(u.former.accounts, name, u.bounds.RateWindow)
+		m.ForEachNonZero(now, func(ago time.Duration, n float64) { former.Add(now, ago, n) })
+	}
+	for name, m := range u.own.retries {
+		former := meter(u.former.retries, name, u.bounds.RetryWindow)
+		m.ForEachNonZero(now, func(ago time.Duration, n float64) { former.Add(now, ago, n) })
+	}
+	u.own = newMeters()
+}
+
+// takeover returns the usage under former owners.
 func (u *usage) takeover(now time.Time) bbtschedule.Takeover {
 	var t bbtschedule.Takeover
-	for name, m := range u.accounts {
+	for name, m := range u.former.accounts {
 		m.ForEachNonZero(now, func(ago time.Duration, n float64) {
 			t.AccountUsage = append(t.AccountUsage, bbtschedule.Usage{Account: name, Age: ago, Amount: n})
 		})
 	}
-	for name, m := range u.retries {
+	for name, m := range u.former.retries {
 		m.ForEachNonZero(now, func(ago time.Duration, n float64) {
 			t.Retries = append(t.Retries, bbtschedule.Usage{Service: name, Age: ago, Amount: n})
 		})
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -133,6 +133,8 @@
 	Retries      []Usage   `cbor:"3,keyasint,omitempty"`
 	Learned      Learned   `cbor:"4,keyasint,omitzero"`
 	Limits       []Limit   `cbor:"5,keyasint,omitempty"` // that endpoints stated to this host
+	Again        bool      `cbor:"6,keyasint,omitempty"` // repeated since the owner lacked it
+	Last         RequestID `cbor:"7,keyasint,omitempty"` // of the host's requests until then
 }
 
 // Limit is what an endpoint stated in its latest answer to a host.
@@ -180,10 +182,22 @@
 	Pending []Pending `cbor:"1,keyasint,omitempty"` // registrations without a reply for long
 }
 
-// ProbeReply answers a Probe with the state that the next owner would need, and with
-// those of the probe's registrations that are not known.
+// Lacks is what an owner does not know of a host that follows it.
+type Lacks uint8
+
+// What an owner lacks of a host's state.
+const (
+	LacksNothing    Lacks = iota
+	LacksDispatches       // it took the host for dead and dropped its dispatches
+	LacksEverything       // no Takeover of the host has arrived at the process
+)
+
+// ProbeReply answers a Probe with the state that the next owner would need, with those
+// of the probe's registrations that are not known, and with what the host has to tell
+// again.
 type ProbeReply struct {
 	Unknown     []Pending `cbor:"4,keyasint,omitempty"`
+	Lacks       Lacks     `cbor:"5,keyasint,omitempty"`
 	Deficits    []Deficit `cbor:"1,keyasint,omitempty"`
 	Learned     Learned   `cbor:"3,keyasint,omitzero"`
 	Incarnation uint64    `cbor:"2,keyasint,omitempty"` // of the replying process; a new process at the same address has no state
--- a/core/bbtschedule/repeat.go
+++ b/core/bbtschedule/repeat.go
@@ -39,13 +39,14 @@
 		return nil, true
 	}
 	done, ok := s.settled.of(now, k)
-	if !ok || done.forgotten || done.attempt < attempt {
+	switch {
+	case !ok || attempt > done.attempt || attempt == done.attempt && done.forgotten:
 		return nil, false
-	}
-	if done.attempt > attempt {
+	case attempt < done.attempt:
 		return nil, true
+	default:
+		return done.reply(now, k), true
 	}
-	return done.reply(now, k), true
 }
 
 // waiterOf returns a queued request, nil if it is not queued.
--- a/core/bbtschedule/repeat_test.go
+++ b/core/bbtschedule/repeat_test.go
@@ -114,3 +114,27 @@
 		t.Errorf("got %v retries left, want %v as before", got, budget)
 	}
 }
+
+// Guards against a second permit for a request whose first one is on its way while its
+// host tells what runs: the one that is not used would be returned, and the other one's
+// request would hold no slot.
+func TestTakeoverKeepsPermitsOnTheirWay(t *testing.T) {
+	s := newSingleScheduler(2)
+	s.Register(start, "host", call(1))
+	now := start.Add(permitFlight - 1)
+	s.TakeOver(now, "host", Takeover{})
+	again := permits(s.Register(now, "host", call(1)))
+	if got := s.Status(now)[0].Running(); got != 1 || again[1].Endpoint == "" {
+		t.Errorf("got permits %v and %d requests at the endpoints, want the permit again and 1", again, got)
+	}
+	charged := used(s, now)
+	now = start.Add(permitFlight)
+	s.TakeOver(now, "host", Takeover{})
+	if got := s.Status(now)[0].Running(); got != 0 {
+		t.Errorf("got %d requests at the endpoints, want the slot free", got)
+	}
+	s.Register(now, "host", call(1))
+	if got := used(s, now); got > charged {
+		t.Errorf("got %v charged, want %v as before", got, charged)
+	}
+}
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -78,17 +78,38 @@
 	}
 }
 
+// permitFlight is the longest usual time until a permit is used. Longer ones are
+// repeated.
+const permitFlight = 250 * time.Millisecond
+
+// forget ends a run whose host may still wait for its permit.
+func (s *Scheduler) forget(now time.Time, r *run) {
+	s.settled.put(now, r.key, settlement{attempt: r.reg.Attempt, forgotten: true, charged: true})
+	s.release(now, r.key)
+}
+
+// Lacks returns what this owner does not know of a host that follows it.
+func (s *Scheduler) Lacks(host bbtfleet.HostID) Lacks {
+	if l, ok := s.lacks[host]; ok {
+		return l
+	}
+	return LacksEverything
+}
+
 // TakeOver adds the runs and the usage that a host has from a former owner.
-// It ends the host's runs that the host does not list: they ended while the host
-// used another owner.
+// It ends the host's runs that the host does not list, as they ended while the host
+// used another owner, but for those whose permits may be on their way or came later.
 func (s *Scheduler) TakeOver(now time.Time, from bbtfleet.HostID, t Takeover) {
 	runs := make(map[RequestID]bool, len(t.Running))
 	for _, active := range t.Running {
 		runs[active.Registration.ID] = true
 	}
-	for k := range s.runs {
-		if k.host == from && !runs[k.id] {
-			s.release(now, k)
+	usageKnown := t.Again && s.Lacks(from) != LacksEverything
+	s.lacks[from] = LacksNothing
+	for k, r := range s.runs {
+		later := t.Again || t.Last != 0 && k.id > t.Last
+		if k.host == from && !runs[k.id] && !later && now.Sub(r.granted) >= permitFlight {
+			s.forget(now, r)
 		}
 	}
 	for _, active := range t.Running {
@@ -107,6 +128,9 @@
 			s.recordStated(now, now.Add(-l.Age), e, l.Limit)
 		}
 	}
+	if usageKnown {
+		return
+	}
 	s.AddUsage(now, t.AccountUsage)
 	for _, usage := range t.Retries {
 		s.retryBudget.meter(s.retryBudget.retries, usage.Service).Add(now, usage.Age, usage.Amount)
@@ -132,9 +156,11 @@
 	}
 	for k, r := range s.runs {
 		if k.host == host {
-			s.settled.put(now, k, settlement{attempt: r.reg.Attempt, forgotten: true, charged: true})
-			s.release(now, k)
+			s.forget(now, r)
 		}
 	}
+	if _, ok := s.lacks[host]; ok {
+		s.lacks[host] = LacksDispatches
+	}
 	return s.grantAll(now)
 }
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -58,7 +58,8 @@
 	suspects    *suspects
 	backoff     backoff
 	settled     settled
-	unreported  []*crash // by time
+	lacks       map[bbtfleet.HostID]Lacks // by host, of those that sent a Takeover
+	unreported  []*crash                  // by time
 	notices     []Notice
 	reapedAt    time.Time // when runs past their deadlines were last searched for
 
@@ -91,6 +92,7 @@
 		retryBudget: newRetryBudget(b),
 		suspects:    newSuspects(),
 		backoff:     newBackoff(),
+		lacks:       make(map[bbtfleet.HostID]Lacks),
 		lowered:     make(map[string]baseline),
 	}
 	for _, opt := range opts {
--- a/io/bbtedge/repeat.go
+++ b/io/bbtedge/repeat.go
@@ -17,16 +17,28 @@
 		e.log.Info("replies sent again", zap.String("peer", string(from)), zap.Int("requests", len(again)))
 	}
 	e.doScheduler(again)
-	e.send(from, bbtschedule.ProbeReply{Deficits: e.scheduler.Deficits(now), Learned: e.scheduler.Learned(now), Incarnation: e.incarnation(), Unknown: unknown})
+	e.send(from, bbtschedule.ProbeReply{
+		Deficits: e.scheduler.Deficits(now), Learned: e.scheduler.Learned(now), Incarnation: e.incarnation(),
+		Unknown: unknown, Lacks: e.scheduler.Lacks(from),
+	})
 }
 
-// registerAgain registers the requests that the owner does not know.
-func (e *Edge) registerAgain(now time.Time, from bbtfleet.HostID, unknown []bbtschedule.Pending) {
-	actions := e.entry.Unknown(now, from, unknown)
+// probeAnswered tells the owner again what it lacks by its answer to a probe.
+func (e *Edge) probeAnswered(now time.Time, from bbtfleet.HostID, r bbtschedule.ProbeReply) {
+	if r.Lacks != bbtschedule.LacksNothing {
+		e.entry.SetLearned(e.scheduler.Learned(now))
+	}
+	actions := e.entry.ProbeAnswered(now, from, r)
 	if len(actions) == 0 {
 		return
 	}
-	e.counters.Add("requests-registered-again", int64(len(actions)))
-	e.log.Info("requests registered again", zap.String("peer", string(from)), zap.Int("requests", len(actions)))
+	told, registered := 0, len(actions)
+	if r.Lacks != bbtschedule.LacksNothing {
+		told, registered = 1, registered-1
+	}
+	e.counters.Add("dispatches-told-again", int64(told))
+	e.counters.Add("requests-registered-again", int64(registered))
+	e.log.Info("told owner again", zap.String("peer", string(from)), zap.Int("requests", registered),
+		zap.Bool("dispatches", r.Lacks != bbtschedule.LacksNothing), zap.Bool("usage", r.Lacks == bbtschedule.LacksEverything))
 	e.doEntry(now, actions)
 }
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -95,7 +95,7 @@
 		e.election.RecordFollower(now, from)
 		e.answerProbe(now, from, m)
 	case bbtschedule.ProbeReply:
-		e.registerAgain(now, from, m.Unknown)
+		e.probeAnswered(now, from, m)
 		if owner := e.election.Owner(); from == owner.ID && m.Incarnation == owner.Incarnation && !e.election.IsOwner() {
 			e.ownerDeficitsAt, e.ownerDeficits = now, m.Deficits
 			e.scheduler.SetLearned(now, m.Learned)
