bbtgateway: a resumed stream gets nothing but its continuation

Reports of other operators: a stream had begun and broke off; the next server answered with an error. Clients found the error's text, at times its whole head, in the middle of their stream, or the stream ended as if it were complete.

An error with a status of its own was no fault here: the stream was resumed elsewhere or broken off visibly. But whatever came with status 200 and the endpoint's header was taken for the rest.

Now the first event of a resumed dispatch has to have an ID that may follow the last one forwarded: the next number where all were consecutive, a larger one where not, another text where IDs are no numbers. Otherwise, or if it sends no event, the endpoint has failed: the stream goes on elsewhere, or ends without its last chunk. An endpoint that says nothing may mean that all was said before; nothing tells this from an error, and a caller that hears of a break may ask itself.

Ruled out: the media type, which an error of a proxy may share; dropping events that come again and forwarding the rest, since a run that does not go on where it was asked to is another run. What an endpoint sends in the middle of its own stream is forwarded as before.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -39,6 +39,7 @@
 	watchdog     *watchdog
 	connTrace    connTrace
 	events       int                     // received
+	continued    bool                    // the events continue those of an earlier dispatch
 	first        time.Time               // of the first event
 	last         time.Time               // of the last event
 	limit        bbtschedule.StatedLimit // of the response, until it is reported
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -103,7 +103,7 @@
 	possibleRuns int            // dispatches whose endpoint may have run the request
 	headerSent   bool           // response header has been sent to the caller
 	events       int            // forwarded to the caller
-	lastEventID  string         // ID of the last event forwarded
+	position     position       // of the stream, as forwarded
 	dispatchLog  []string       // endpoint and outcome of each dispatch
 	status       int
 	reason       string            // why the request was refused, aborted or not dispatched again
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -28,6 +28,7 @@
 // serve dispatches the request to endpoints that the scheduler selects until
 // one responds or no further dispatch is allowed.
 func (x *exchange) serve() {
+	x.position = newPosition(x.head.LastEventID)
 	x.request = x.gateway.edge.Submit(x.submission())
 	ctx, cancel := context.WithDeadline(x.r.Context(), x.deadline)
 	defer cancel()
@@ -109,7 +110,7 @@
 		Endpoint:      bbtcatalog.Endpoint{ID: d.Endpoint, Address: d.Address},
 		Account:       x.accountName(),
 		RemainingTime: time.Until(x.deadline),
-		LastEventID:   x.lastEventID,
+		LastEventID:   x.position.lastID,
 	})
 	if _, ok := h["User-Agent"]; !ok {
 		h.Set("User-Agent", "") // keeps net/http from adding its default
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -18,9 +18,9 @@
 )
 
 // forwardStream forwards each event when it is complete. An interrupted stream
-// continues on another endpoint if the route is resumable.
+// continues on another endpoint if the route is resumable. An endpoint that sends
+// something else instead, or nothing, has failed.
 func (a *attempt) forwardStream(ctx context.Context, resp *http.Response) bool {
-	x := a.exchange
 	buf := make([]byte, 0, initialStreamBytes)
 	for {
 		if len(buf) == cap(buf) {
@@ -29,13 +29,17 @@
 		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
 		buf = buf[:len(buf)+n]
 		if end := completeEventsLen(buf); end > 0 {
+			if !a.continues(buf[:end]) {
+				return a.finish(bbtschedule.Failed, true)
+			}
 			a.forwardEvents(resp, buf[:end])
 			buf = buf[:copy(buf, buf[end:])]
 		}
 		switch {
 		case err == nil && len(buf) < maxEventBytes:
-		case errors.Is(err, io.EOF) && len(buf) == 0 && (a.events > 0 || x.events > 0):
-			x.ensureHeaderSent(resp)
+		case errors.Is(err, io.EOF) && len(buf) == 0 && a.isResumed() && !a.continued:
+			return a.finish(bbtschedule.Failed, true)
+		case errors.Is(err, io.EOF) && len(buf) == 0 && a.events > 0:
 			return a.finish(bbtschedule.Finished, false)
 		default:
 			return a.interrupted(ctx, err)
@@ -71,11 +75,10 @@
 	}
 	a.last = now
 	a.watchdog.reset()
-	n, last := countEvents(events)
-	a.events += n
-	x.events += n
-	if last != "" {
-		x.lastEventID = last
+	for e := range parseEvents(events) {
+		a.events++
+		x.events++
+		x.position.advance(e)
 	}
 	x.ensureHeaderSent(resp)
 	_, err := x.w.Write(events)
@@ -110,19 +113,3 @@
 	}
 	return n
 }
-
-// countEvents returns the number of events and the last event ID, which is
-// empty if no event has one.
-func countEvents(events []byte) (int, string) {
-	n, lastID := 0, ""
-	for line := range bytes.Lines(events) {
-		line = bytes.TrimRight(line, "\r\n")
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			lastID = string(bytes.TrimSpace(id))
-		}
-		if len(line) == 0 {
-			n++
-		}
-	}
-	return n, lastID
-}
