bbtgateway: a stream is not resumed behind events without an ID

A stream of a resumable route was resumed after the last ID that it had shown, or from its start if it had shown none, also where events without an ID had been forwarded since. Its caller got these twice.

Such a stream is now broken off visibly when it ends early, and its pauses are no reason to cut it.

--- a/io/bbtgateway/resume.go
+++ b/io/bbtgateway/resume.go
@@ -48,6 +48,7 @@
 	number  uint64 // lastID as a number
 	numeric bool   // lastID is a number
 	regular bool   // all IDs are numbers, each larger by one than the one before
+	behind  bool   // events without an ID were forwarded behind that one
 }
 
 // newPosition returns the position of a stream that its caller resumes after the event
@@ -60,12 +61,13 @@
 // advance moves the position behind an event that was forwarded.
 func (p *position) advance(e streamEvent) {
 	if e.id == "" {
+		p.behind = p.behind || e.hasField
 		return
 	}
 	n, err := strconv.ParseUint(e.id, 10, 64)
 	first := p.lastID == "" && n == 0 // IDs may start from zero
 	p.regular = p.regular && err == nil && (n == p.number+1 || first)
-	p.lastID, p.number, p.numeric = e.id, n, err == nil
+	p.lastID, p.number, p.numeric, p.behind = e.id, n, err == nil, false
 }
 
 // continuedBy reports whether an event may be the next one of the stream. No event
--- a/io/bbtgateway/resume_test.go
+++ b/io/bbtgateway/resume_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 )
 
 // respondRaw sends a response head and body as they are, and ends the connection.
@@ -73,3 +74,28 @@
 		})
 	}
 }
+
+// Guards against events that a caller gets twice: those behind the last ID come again
+// from the endpoint that the stream is resumed at.
+func TestStreamIsNotResumedBehindEventsWithoutID(t *testing.T) {
+	for name, first := range map[string]string{
+		"no IDs":            "data: a\n\n",
+		"after the last ID": twoEvents + "data: c\n\n",
+		"ID of no header":   "id: a\x01b\ndata: a\n\n",
+	} {
+		g := newTestGateway(t, 2, streamAndAbort(first), respond(200, first+"id: 3\ndata: c\n\n"))
+		resp, body, err := g.send(http.MethodPost, "/resume/a", "x")
+		if err == nil || body != first {
+			t.Errorf("%s: got %v %q, %v, want %q and a truncated response", name, resp, body, err, first)
+		}
+		if got := g.requestCount(); got != 1 {
+			t.Errorf("%s: got %d runs, want 1", name, got)
+		}
+	}
+	// A pause is then no reason to break off the stream, since it cannot go on elsewhere.
+	g := newTestGateway(t, 2, trickle("data: a\n\n", "data: a\n\n", 400*time.Millisecond, 3), respond(200, "data: b\n\n"))
+	_, body, err := g.send(http.MethodPost, "/fast-stream/a", "x")
+	if want := strings.Repeat("data: a\n\n", 4); err != nil || body != want || g.requestCount() != 1 {
+		t.Errorf("got %q of %d runs, %v, want %q of one", body, g.requestCount(), err, want)
+	}
+}
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -49,7 +49,7 @@
 
 // interrupted ends the dispatch of a truncated stream. It asks for another
 // dispatch if the stream may be resumed or, before anything was forwarded, if
-// the request may be repeated.
+// the request may be repeated. A stream is resumed at the ID of its last event.
 func (a *attempt) interrupted(ctx context.Context, err error) bool {
 	x := a.exchange
 	if err == nil || errors.Is(err, io.EOF) {
@@ -58,7 +58,7 @@
 	if !x.headerSent {
 		return a.incomplete(ctx, err)
 	}
-	if ctx.Err() != nil || !x.route.Resumable {
+	if ctx.Err() != nil || !x.route.Resumable || x.position.behind {
 		a.abort(ctx)
 	}
 	return a.finish(a.failureOutcome(ctx), true)
@@ -80,6 +80,9 @@
 		x.events++
 		x.position.advance(e)
 	}
+	if x.position.behind { // the stream cannot go on elsewhere
+		a.watchdog.stop()
+	}
 	x.ensureHeaderSent(resp)
 	_, err := x.w.Write(events)
 	if err == nil {
