bbtgateway: the length of a stream that broke off does not hold for the rest

The header of the first endpoint's answer was sent with its Content-Length. Where the stream went on at another endpoint, what lay beyond that length was dropped, and the answer looked complete; a shorter rest left a complete stream cut. TestLengthOfABrokenStreamDoesNotHold, before: reached before the end: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", <nil> beyond the end: "...id: 3\ndata: c\n\n", unexpected EOF Streams that may be resumed are now sent in chunks; that they are complete was always decided by the end of the endpoint's own answer.

--- a/io/bbtgateway/resume_test.go
+++ b/io/bbtgateway/resume_test.go
@@ -1,6 +1,7 @@
 package bbtgateway_test
 
 import (
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -99,3 +100,23 @@
 		t.Errorf("got %q of %d runs, %v, want %q of one", body, g.requestCount(), err, want)
 	}
 }
+
+// Guards against a stream that seems complete, or is cut, at the length that its first
+// endpoint has stated, while another one goes on.
+func TestLengthOfABrokenStreamDoesNotHold(t *testing.T) {
+	for name, length := range map[string]string{"reached before the end": "30", "beyond the end": "3000"} {
+		first := respondRaw("HTTP/1.1 200 OK\r\nCall-Id: $ID\r\nAnswer-Seal: seal\r\nContent-Length: " + length + "\r\n\r\n" + oneEvent)
+		g := newTestGateway(t, 2, first, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Answer-Seal", "seal")
+			for _, event := range []string{"id: 2\ndata: b\n\n", "id: 3\ndata: c\n\n"} {
+				_, _ = io.WriteString(w, event)
+				_ = http.NewResponseController(w).Flush()
+				<-time.After(50 * time.Millisecond)
+			}
+		})
+		resp, body, err := g.send(http.MethodPost, "/resume/a", "x")
+		if want := twoEvents + "id: 3\ndata: c\n\n"; err != nil || body != want {
+			t.Errorf("%s: got %v %q, %v, want %q", name, resp, body, err, want)
+		}
+	}
+}
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -95,11 +95,18 @@
 	}
 }
 
-// ensureHeaderSent sends the response header unless it has been sent.
+// ensureHeaderSent sends the response header unless it has been sent. It leaves out the
+// length of a stream that may go on at another endpoint.
 func (x *exchange) ensureHeaderSent(resp *http.Response) {
-	if !x.headerSent {
-		x.sendHeader(resp.StatusCode, resp.Header)
+	if x.headerSent {
+		return
+	}
+	header := resp.Header
+	if x.route.Resumable {
+		header = header.Clone()
+		header.Del("Content-Length")
 	}
+	x.sendHeader(resp.StatusCode, header)
 }
 
 // eventEnds are the ends of an event: a blank line, with or without a carriage return.
