bbtcatalog: a kind of route of another version has a name

A peer of another version, or a faulty one, could tell of a kind of route that this one does not know. The line of each request on such a route panicked: net/http closed the caller's connection. Such a kind runs at most once, as before, and is named so.

--- a/core/bbtcatalog/route.go
+++ b/core/bbtcatalog/route.go
@@ -12,8 +12,18 @@
 	Streaming              // response is an event stream; executed at most once unless resumable
 )
 
-// String returns the kind's name in kebab case.
-func (k Kind) String() string { return [...]string{"at-most-once", "idempotent", "streaming"}[k] }
+// String returns the kind's name in kebab case. Requests of a kind that this version does
+// not know run at most once.
+func (k Kind) String() string {
+	switch k {
+	case Idempotent:
+		return "idempotent"
+	case Streaming:
+		return "streaming"
+	default:
+		return "at-most-once"
+	}
+}
 
 // Route maps the requests under a path prefix of a domain to services. Its
 // fields are exported because it is encoded for transfer between hosts.
