bbtschedule: count the silence of a run once

One silent request paused its endpoint: its silence counted when another endpoint was asked for, each time again, and when the dispatch ended. Now a relocation names the registration of the dispatch that is silent, and a run counts once. TestOneSilentRequestPausesNoEndpoint failed.

--- a/core/bbtentry/relocate.go
+++ b/core/bbtentry/relocate.go
@@ -35,7 +35,7 @@
 		e.awaitingSince = now
 	}
 	r := c.registration(now)
-	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.relocation.attempt, true, c.endpoint
+	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.relocation.attempt, true, c.registeredID
 	r.Exclude = append(slices.Clone(c.triedEndpoints), c.endpoint)
 	return []Action{Send{e.owner, r}}
 }
--- a/core/bbtentry/relocate_test.go
+++ b/core/bbtentry/relocate_test.go
@@ -14,7 +14,7 @@
 	t.Helper()
 	id := dispatch(t, e)
 	to, r := sentMessage[bbtschedule.Registration](t, e.Relocate(start, id, 0))
-	if to != owner || r.ID == id || r.Attempt != 1 || !r.Retry || r.Silent != "a" || len(r.Exclude) != 1 || r.Exclude[0] != "a" {
+	if to != owner || r.ID == id || r.Attempt != 1 || !r.Retry || r.Silent != id || len(r.Exclude) != 1 || r.Exclude[0] != "a" {
 		t.Fatalf("got %+v to %s, want another registration of a retry that excludes the silent endpoint", r, to)
 	}
 	return id, r
--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -269,7 +269,9 @@
 		e.consecutiveFailures++
 		e.pause(now, e.failurePause())
 	case ConnectionLost, IdleTimeout:
-		e.consecutiveFailures++
+		if !r.silent {
+			e.consecutiveFailures++
+		}
 		if e.consecutiveFailures >= failuresToPause {
 			e.pause(now, e.failurePause())
 		}
--- a/core/bbtschedule/grant.go
+++ b/core/bbtschedule/grant.go
@@ -96,7 +96,7 @@
 func (s *Scheduler) permit(now time.Time, sv *service, w *waiter, e *endpoint) Action {
 	sv.queue.remove(w)
 	sv.granted(now)
-	r := &run{key: w.key, reg: w.reg, endpoint: e, granted: now, trial: s.suspects.begin(now, &w.reg)}
+	r := &run{key: w.key, reg: w.reg, endpoint: e, registered: w.arrivedAt, granted: now, trial: s.suspects.begin(now, &w.reg)}
 	s.runs[w.key] = r
 	e.startRun(now, r)
 	return Action{w.key.host, r.permit()}
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -29,7 +29,7 @@
 	EffectiveObjective   time.Duration `cbor:"17,keyasint,omitempty"` // latency objective from arrival to first event; the request's timeout if the route has none
 	ExpectedOutputTokens int           `cbor:"19,keyasint,omitempty"` // as given by the caller; 0 if unknown
 	Zone                 string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that received the request
-	Silent               string        `cbor:"20,keyasint,omitempty"` // endpoint that is silent, where a dispatch of the request goes on unless this one is permitted
+	Silent               RequestID     `cbor:"20,keyasint,omitempty"` // registration of the dispatch that goes on at a silent endpoint unless this one is permitted; 0 for none
 }
 
 // PromptBlock is a block of a prompt that several requests may share.
--- a/core/bbtschedule/register.go
+++ b/core/bbtschedule/register.go
@@ -27,7 +27,7 @@
 	if s.suspects.banned(now, &r) {
 		return refuse(bbtverdict.ReasonCrashesEndpoints, 0)
 	}
-	if r.Silent != "" {
+	if r.Silent != 0 {
 		return s.relocate(now, sv, k, r)
 	}
 	before, counted := s.settled.of(now, k)
@@ -67,7 +67,7 @@
 // refuseWaiter refuses a dequeued request, reclaims what it used and sets when its
 // caller should retry.
 func (s *Scheduler) refuseWaiter(now time.Time, w *waiter, r Refusal) Action {
-	if w.reg.Silent != "" {
+	if w.reg.Silent != 0 {
 		return s.refuseRelocation(now, w)
 	}
 	s.reclaim(now, w)
--- a/core/bbtschedule/relocate.go
+++ b/core/bbtschedule/relocate.go
@@ -10,8 +10,8 @@
 // one, behind the timely requests, even if its latency objective is missed. It refuses
 // the request only if no retry is left, since the silent endpoint may answer meanwhile.
 func (s *Scheduler) relocate(now time.Time, sv *service, k key, r Registration) []Action {
-	if e := s.byID[r.Silent]; e != nil {
-		e.recordSilence(now)
+	if run := s.runs[key{k.host, r.Silent}]; run != nil {
+		run.endpoint.recordSilence(now, run)
 	}
 	if !s.retryBudget.take(now, r.Service, s.shares.limits) {
 		return []Action{s.refuse(now, k, Refusal{ID: r.ID, Attempt: r.Attempt, Reason: string(bbtverdict.ReasonRetryBudget)})}
@@ -42,9 +42,13 @@
 	}
 }
 
-// recordSilence pauses an endpoint at which several requests in succession get no
-// data. A first event resets the count.
-func (e *endpoint) recordSilence(now time.Time) {
+// recordSilence pauses an endpoint at which several runs in succession get no data. A
+// run counts once. A first event resets the count.
+func (e *endpoint) recordSilence(now time.Time, r *run) {
+	if r.silent {
+		return
+	}
+	r.silent = true
 	if e.consecutiveFailures++; e.consecutiveFailures >= failuresToPause {
 		e.pause(now, e.failurePause())
 		e.service.reorder(now, e)
--- a/core/bbtschedule/relocate_test.go
+++ b/core/bbtschedule/relocate_test.go
@@ -17,7 +17,7 @@
 		t.Fatalf("got no permit for %d, want one", id)
 	}
 	r.ID += 1000
-	r.Attempt, r.Retry, r.Silent, r.Exclude = 1, true, p.Endpoint, []string{p.Endpoint}
+	r.Attempt, r.Retry, r.Silent, r.Exclude = 1, true, RequestID(id), []string{p.Endpoint}
 	r.RemainingObjective = -time.Second // missed, as the endpoint has been silent
 	return r
 }
@@ -33,7 +33,7 @@
 	}
 	now := start.Add(50 * time.Millisecond)
 	granted := permits(s.Done(now, "host", Done{ID: other.ID - 1000, Outcome: Finished}))
-	if p := granted[r.ID]; p.Endpoint == "" || p.Endpoint == r.Silent || p.Attempt != 1 {
+	if p := granted[r.ID]; p.Endpoint == "" || p.Endpoint == r.Exclude[0] || p.Attempt != 1 {
 		t.Errorf("got %+v once the other endpoint is free, want a permit there", granted)
 	}
 	if s.runs[key{"host", 1}] == nil {
@@ -76,11 +76,11 @@
 	s := newEngineScheduler(1, 4)
 	a, b := silentRun(t, s, start, 1), silentRun(t, s, start, 2)
 	s.Register(start, "host", a)
-	if !s.byID[a.Silent].available(start) {
+	if !s.byID[a.Exclude[0]].available(start) {
 		t.Error("got the endpoint paused after one silent request")
 	}
 	s.Register(start, "host", b)
-	if s.byID[a.Silent].available(start) {
+	if s.byID[a.Exclude[0]].available(start) {
 		t.Error("got the endpoint available after two silent requests")
 	}
 }
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -125,7 +125,8 @@
 		if e == nil || s.runs[k] != nil {
 			continue
 		}
-		r := &run{key: k, reg: active.Registration, endpoint: e, granted: now.Add(-active.Elapsed), firstEvent: active.FirstEvent, adopted: true}
+		granted := now.Add(-active.Elapsed)
+		r := &run{key: k, reg: active.Registration, endpoint: e, registered: granted, granted: granted, firstEvent: active.FirstEvent, adopted: true}
 		s.runs[k] = r
 		e.adoptRun(now, r)
 	}
--- a/core/bbtschedule/scheduler.go
+++ b/core/bbtschedule/scheduler.go
@@ -22,7 +22,9 @@
 	key           key
 	reg           Registration
 	endpoint      *endpoint
+	registered    time.Time // when its cost was counted
 	granted       time.Time
+	silent        bool    // its endpoint has been reported as silent for it
 	prefillTokens float64 // prompt tokens that the engine processes until the first event, including those of earlier prompts
 	firstEvent    bool
 	trial         bool // something that the request has may crash endpoints
