bbtschedule: reverse limits and retries where they were counted

Costs and retries that requests did not use stayed counted, so that callers were refused for a limit or the retry budget too early. A meter found the step to reverse from the age, in steps before the present one, and missed it at 14 of 40 moments; the age was taken from the permit instead of the registration; requests that are quarantined in the queue gave no retry back. TestWithdrawnRelocationGivesItsRetryBackAtAnyMoment and TestQuarantinedRelocationGivesItsRetryBack failed. The step is now that of the time at which the cost was counted.

--- a/core/bbtschedule/crash.go
+++ b/core/bbtschedule/crash.go
@@ -96,7 +96,7 @@
 		for _, w := range sv.queue.all() {
 			if s.suspects.banned(now, &w.reg) {
 				sv.queue.remove(w)
-				s.refund(now, &w.reg, now.Sub(w.arrivedAt))
+				s.reclaim(now, w)
 				out = append(out, Action{w.key.host, Refusal{ID: w.reg.ID, Attempt: w.reg.Attempt, Reason: string(bbtverdict.ReasonCrashesEndpoints)}})
 			}
 		}
--- a/core/bbtschedule/meter.go
+++ b/core/bbtschedule/meter.go
@@ -35,9 +35,12 @@
 // stepLength returns the duration of one step.
 func (m *Meter) stepLength() time.Duration { return max(m.window/windowSteps, time.Microsecond) }
 
+// stepOf returns the step that contains a time.
+func (m *Meter) stepOf(t time.Time) int64 { return t.UnixNano() / int64(m.stepLength()) }
+
 // advance moves the window to now and clears the steps that it enters.
 func (m *Meter) advance(now time.Time) {
-	step := now.UnixNano() / int64(m.stepLength())
+	step := m.stepOf(now)
 	for n := max(m.step+1, step-windowSteps); n <= step; n++ {
 		m.counts[n%int64(len(m.counts))] = 0
 	}
@@ -45,10 +48,10 @@
 }
 
 // Add counts usage of a given age. Usage older than the window is ignored, and
-// no step falls below zero.
+// no step falls below zero. A negative amount reverses one that was added at its time.
 func (m *Meter) Add(now time.Time, age time.Duration, n float64) {
 	m.advance(now)
-	back := int64(max(age, 0) / m.stepLength())
+	back := m.step - m.stepOf(now.Add(-max(age, 0)))
 	if back > windowSteps {
 		return
 	}
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -44,9 +44,9 @@
 	var out []Action
 	switch d.Outcome {
 	case Rejected, Unreachable, Unused:
-		s.refund(now, &r.reg, now.Sub(r.granted))
+		s.refund(now, &r.reg, now.Sub(r.registered))
 		if r.reg.Retry && d.Outcome != Rejected {
-			s.retryBudget.giveBack(now, r.reg.Service, now.Sub(r.granted))
+			s.retryBudget.giveBack(now, r.reg.Service, now.Sub(r.registered))
 		}
 		s.suspects.notRun(now, &r.reg)
 	case Finished:
