bbtschedule: drop waiting requests that a takeover names as running

A slot stayed taken for good: a request waited at an owner, was run under another one, and its host came back. The owner adopted the run and later permitted the request that still waited, which overwrote the run in its count. TestTakeOverEndsWhatTheHostNoLongerWaitsFor failed. The waiting request is dropped when its run is adopted.

--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -125,6 +125,7 @@
 		if e == nil || s.runs[k] != nil {
 			continue
 		}
+		s.drop(now, k) // it may wait here since before the host used another owner
 		granted := now.Add(-active.Elapsed)
 		r := &run{key: k, reg: active.Registration, endpoint: e, registered: granted, granted: granted, firstEvent: active.FirstEvent, adopted: true}
 		s.runs[k] = r
