bbtedge: an unread answer to a relocation blocks no event loop

A host could stand still for good: a relocation was granted, its watchdog had been stopped and read no answer, and a change of the owner answered a second time, to a channel with room for one. Requests of all callers of the host then got neither an answer nor a refusal. A granted relocation now outlives its owner, and passing on an answer never blocks. Answers are recorded only for relocations that were begun.

--- a/core/bbtentry/relocate.go
+++ b/core/bbtentry/relocate.go
@@ -83,11 +83,12 @@
 	return e.PermitReceived(now, rel.owner, *rel.permit)
 }
 
-// refuseRelocations ends all relocations, since the owner changes.
+// refuseRelocations ends the relocations without a permit, since the owner changes. A
+// permit of a former owner may be used.
 func (e *Entry) refuseRelocations() []Action {
 	var out []Action
 	for _, id := range e.sortedIDs() {
-		if c := e.calls[id]; c.relocation != nil {
+		if c := e.calls[id]; c.relocation != nil && c.relocation.permit == nil {
 			out = append(out, e.dropRelocation(c)...)
 			out = append(out, RelocationRefused{id})
 		}
--- a/io/bbtedge/relocate.go
+++ b/io/bbtedge/relocate.go
@@ -41,9 +41,13 @@
 	if e.requests[id] == nil {
 		return
 	}
+	actions := e.entry.Relocate(now, id, ev.relocation.attempt)
+	if len(actions) == 0 {
+		return
+	}
 	e.relocations[id] = ev.relocation.answer
 	e.counters.Add("relocations", 1)
-	e.doEntry(now, e.entry.Relocate(now, id, ev.relocation.attempt))
+	e.doEntry(now, actions)
 }
 
 func (ev relocationCancelled) apply(e *Edge, now time.Time) {
@@ -65,5 +69,8 @@
 	} else {
 		delete(e.relocations, id)
 	}
-	answer <- granted // does not block: there is one answer
+	select {
+	case answer <- granted:
+	default: // granted and not read yet, and refused since the owner changed
+	}
 }
