bbtgateway: a stopped watchdog ends its relocation and cancels nothing

A long plain answer stops the watchdog of its dispatch. It is now withdrawn, and a dispatch is cancelled under the watchdog's lock. Events that arrive between the timer and the question count as progress.

--- a/io/bbtgateway/silence.go
+++ b/io/bbtgateway/silence.go
@@ -36,9 +36,10 @@
 	progress    chan struct{} // holds a value if events have arrived
 	stopped     chan struct{} // closed by stop
 
-	mu        sync.Mutex
-	timer     *time.Timer
-	isStopped bool
+	mu         sync.Mutex
+	timer      *time.Timer
+	progressAt time.Time // when events arrived last
+	isStopped  bool
 }
 
 // startWatchdog returns a running watchdog of a dispatch that calls cancel, or nil if the
@@ -51,6 +52,9 @@
 		request: x.request, attempt: attempt, cancel: cancel, idleTimeout: max(idleTimeoutFactor*x.route.MaxEventGap, minTimeout),
 		patience: max(relocationTimeout, 2*x.route.LatencyObjective), progress: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
+	if x.route.LatencyObjective <= 0 {
+		w.patience = max(w.patience, time.Until(x.deadline))
+	}
 	responseTimeout := max(responseTimeoutFactor*x.route.LatencyObjective, minTimeout)
 	if x.route.Kind == bbtcatalog.Streaming {
 		responseTimeout = max(responseTimeout, w.idleTimeout)
@@ -64,9 +68,8 @@
 // expire looks for another endpoint. It cancels the dispatch if there is one, and
 // otherwise waits for another idle timeout.
 func (w *watchdog) expire() {
-	select {
-	case <-w.progress: // before the silence
-	default:
+	if !w.isSilent() {
+		return
 	}
 	rel := w.request.Relocate(w.attempt)
 	patience := time.NewTimer(w.patience)
@@ -80,19 +83,43 @@
 	case <-patience.C:
 		rel.Cancel()
 	case <-w.stopped:
+		rel.Cancel()
 		return
 	}
-	if !granted {
+	switch {
+	case !granted:
 		w.rearm()
-		return
+	case !w.abandon():
+		rel.Cancel()
+	}
+}
+
+// isSilent reports whether no events have arrived for the idle timeout. It forgets the
+// earlier ones.
+func (w *watchdog) isSilent() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isStopped || !w.progressAt.IsZero() && time.Since(w.progressAt) < w.idleTimeout {
+		return false
 	}
 	select {
 	case <-w.progress:
-		rel.Cancel()
 	default:
-		w.expired.Store(true)
-		w.cancel()
 	}
+	return true
+}
+
+// abandon cancels the dispatch, and reports whether it has: not if events have arrived
+// or the watchdog is stopped.
+func (w *watchdog) abandon() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isStopped || len(w.progress) > 0 {
+		return false
+	}
+	w.expired.Store(true)
+	w.cancel()
+	return true
 }
 
 // rearm starts the timer again unless the watchdog is stopped.
@@ -109,7 +136,13 @@
 	if w == nil {
 		return
 	}
-	w.rearm()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.isStopped {
+		return
+	}
+	w.progressAt = time.Now()
+	w.timer.Reset(w.idleTimeout)
 	select {
 	case w.progress <- struct{}{}:
 	default:
