bbtentry: a request whose silent endpoint breaks off keeps its place

When a silent endpoint broke off, the relocation that was queued for its request was withdrawn and the request registered anew, and refused as late: no-room 50 ms before a slot became free (TestBrokenSilentRequestKeepsItsPlaceInTheQueue). The relocation becomes the request's registration, whether permitted or queued.

--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -227,10 +227,9 @@
 	case c.dispatched >= c.submission.MaxAttempts || c.dispatchNumber >= maxDispatches:
 		out = append(out, e.dropRelocation(c)...)
 		return append(out, e.fail(c, bbtverdict.ReasonAttemptsExhausted, 0)...)
-	case c.relocation != nil && c.relocation.permit != nil:
+	case c.relocation != nil:
 		return append(out, e.useRelocation(now, c)...)
 	default:
-		out = append(out, e.dropRelocation(c)...)
 		return append(out, e.register(now, c)...)
 	}
 }
--- a/core/bbtentry/relocate.go
+++ b/core/bbtentry/relocate.go
@@ -73,13 +73,17 @@
 	return []Action{RelocationGranted{c.id}}
 }
 
-// useRelocation dispatches a request, whose dispatch has ended, under the permit of its
-// relocation.
+// useRelocation makes the registration of a relocation that of its request, whose
+// dispatch has ended, and dispatches it if there is a permit. The request so keeps its
+// place in the queue.
 func (e *Entry) useRelocation(now time.Time, c *call) []Action {
 	rel := c.relocation
 	c.relocation = nil
 	delete(e.aliases, c.registeredID)
-	c.registeredID = rel.id
+	c.registeredID, c.askedAt = rel.id, now
+	if rel.permit == nil {
+		return nil
+	}
 	return e.PermitReceived(now, rel.owner, *rel.permit)
 }
 
