bbtschedule: pause an endpoint at whose address another server is

An entry whose address belongs to another server, left by another writer or stale since the address is used again, never has a backlog, so that its endpoint was chosen for one request after the other. Each was refused as misdirected, which counted like a refusal of a full server: a pause of 60 ms, and one of the request's attempts; routes with one attempt refused the request.

Such an answer has an outcome of its own now, misdirected: not run, and the endpoint is paused like one that cannot be reached, for a quarter of a second to two.

--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -264,7 +264,7 @@
 		e.recordFinished(now, r, d)
 	case Rejected:
 		e.pause(now, rejectionPause)
-	case Unreachable:
+	case Unreachable, Misdirected:
 		e.consecutiveFailures++
 		e.pause(now, e.failurePause())
 	case ConnectionLost, IdleTimeout:
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -100,11 +100,12 @@
 	Cancelled                     // the caller disconnected or its deadline passed
 	Unused                        // the permit was not used
 	IdleTimeout                   // aborted as no data arrived for too long
+	Misdirected                   // not run by the server at the address, which is another one
 )
 
 // String returns the outcome as it appears in dispatch logs and counter names.
 func (o Outcome) String() string {
-	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused", "silent"}[o]
+	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused", "silent", "misdirected"}[o]
 }
 
 // Done reports the end of the dispatch under a permit.
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -30,7 +30,7 @@
 	r.endpoint.endRun(now, r, d)
 	var out []Action
 	switch d.Outcome {
-	case Rejected, Unreachable, Unused:
+	case Rejected, Unreachable, Unused, Misdirected:
 		s.refund(now, &r.reg, now.Sub(r.granted))
 		s.suspects.notRun(now, &r.reg)
 	case Finished:
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -84,7 +84,12 @@
 // mayHaveRun reports whether the endpoint may have run a request with this
 // outcome.
 func mayHaveRun(o bbtschedule.Outcome) bool {
-	return o != bbtschedule.Unreachable && o != bbtschedule.Rejected && o != bbtschedule.Unused
+	switch o {
+	case bbtschedule.Unreachable, bbtschedule.Rejected, bbtschedule.Misdirected, bbtschedule.Unused:
+		return false
+	default:
+		return true
+	}
 }
 
 // roundTripFailed ends a dispatch that got no response header.
@@ -129,6 +134,8 @@
 func (a *attempt) forward(ctx context.Context, resp *http.Response) bool {
 	x := a.exchange
 	switch {
+	case a.responseHead.NotRun && !a.isForeign() && resp.StatusCode == http.StatusMisdirectedRequest:
+		return a.finish(bbtschedule.Misdirected, true)
 	case a.responseHead.NotRun && !a.isForeign():
 		return a.finish(bbtschedule.Rejected, true)
 	case x.headerSent && resp.StatusCode != http.StatusOK:
