--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -43,9 +43,9 @@
 	r.endpoint.endRun(now, r, d)
 	var out []Action
 	switch d.Outcome {
-	case Rejected, Unreachable, Unused:
+	case Rejected, Unreachable, Unused, Misdirected:
 		s.refund(now, &r.reg, now.Sub(r.registered))
-		if r.reg.Retry && d.Outcome != Rejected {
+		if r.reg.Retry && (d.Outcome == Unreachable || d.Outcome == Unused) {
 			s.retryBudget.giveBack(now, r.reg.Service, now.Sub(r.registered))
 		}
 		s.suspects.notRun(now, &r.reg)
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -89,7 +89,12 @@
 // mayHaveRun reports whether the endpoint may have run a request with this
 // outcome.
 func mayHaveRun(o bbtschedule.Outcome) bool {
-	return o != bbtschedule.Unreachable && o != bbtschedule.Rejected && o != bbtschedule.Unused
+	switch o {
+	case bbtschedule.Unreachable, bbtschedule.Rejected, bbtschedule.Misdirected, bbtschedule.Unused:
+		return false
+	default:
+		return true
+	}
 }
 
 // roundTripFailed ends a dispatch that got no response header.
@@ -134,6 +139,8 @@
 func (a *attempt) forward(ctx context.Context, resp *http.Response) bool {
 	x := a.exchange
 	switch {
+	case a.responseHead.NotRun && !a.isForeign() && resp.StatusCode == http.StatusMisdirectedRequest:
+		return a.finish(bbtschedule.Misdirected, true)
 	case a.responseHead.NotRun && !a.isForeign():
 		return a.finish(bbtschedule.Rejected, true)
 	case x.headerSent && resp.StatusCode != http.StatusOK:
@@ -181,29 +188,6 @@
 // whereas bbtentry.Entry also counts rejected ones.
 func (x *exchange) isLastAttempt() bool { return x.possibleRuns+1 >= x.route.MaxAttempts }
 
-// isMismatched reports whether the response cannot be the endpoint's response
-// to this request: it has the ID of another request (or none, on a reused
-// connection), has a status that is not final, a content encoding, which callers and
-// endpoints never use, or is a success without the header that endpoints set on every
-// success.
-func (a *attempt) isMismatched(resp *http.Response) bool {
-	if a.isForeign() || resp.StatusCode < http.StatusOK {
-		return true
-	}
-	if resp.Header.Get("Content-Encoding") != "" {
-		return true
-	}
-	return resp.StatusCode < http.StatusMultipleChoices && !a.responseHead.HasEndpointHeader
-}
-
-// isForeign reports whether the response belongs to another request, by its ID. A
-// reused connection may carry a late response to an earlier one.
-func (a *attempt) isForeign() bool {
-	checkID := a.responseHead.ID != "" || a.connTrace.reused.Load()
-	id := a.exchange.head.ID
-	return id != "" && checkID && a.responseHead.ID != id
-}
-
 // forwardBuffered reads the complete response before forwarding it, unless it
 // proves to be long.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) bool {
