bbtschedule: tests for each part of the repetition of takeovers

TestTakeoverKeepsPermitsOnTheirWay looked at the slots after the registration alone, which takes the slot again; it looks before now, and covers four cases.

--- a/core/bbtschedule/repeat_test.go
+++ b/core/bbtschedule/repeat_test.go
@@ -119,22 +119,61 @@
 // host tells what runs: the one that is not used would be returned, and the other one's
 // request would hold no slot.
 func TestTakeoverKeepsPermitsOnTheirWay(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		after    time.Duration
+		takeover Takeover
+		want     int
+	}{
+		{"just granted", permitFlight - 1, Takeover{Last: 9}, 1},
+		{"granted before", permitFlight, Takeover{Last: 9}, 0},
+		{"registered after the message was sent", permitFlight, Takeover{Last: 8}, 1},
+		{"repeated message", permitFlight, Takeover{Last: 9, Again: true}, 1},
+	} {
+		s := newSingleScheduler(2)
+		s.Register(start, "host", call(9))
+		charged, now := used(s, start), start.Add(c.after)
+		s.TakeOver(now, "host", c.takeover)
+		if got := s.Status(now)[0].Running(); got != c.want {
+			t.Errorf("%s: got %d requests at the endpoints, want %d", c.name, got, c.want)
+		}
+		if got := permits(s.Register(now, "host", call(9))); len(got) != 1 {
+			t.Errorf("%s: got permits %v, want one", c.name, got)
+		}
+		if got := used(s, now); got > charged {
+			t.Errorf("%s: got %v charged, want %v as before", c.name, got, charged)
+		}
+	}
+}
+
+// Guards against usage that counts twice since a host repeats what an owner knows.
+func TestRepeatedTakeoverAddsNoUsage(t *testing.T) {
+	s := newSingleScheduler(2)
+	usage := []Usage{{Account: "salons", Amount: 100}}
+	for range 2 {
+		if got, want := s.Lacks("host") == LacksNothing, used(s, start) > 0; got != want {
+			t.Errorf("got %v lacking, want nothing once a Takeover has arrived, everything before", s.Lacks("host"))
+		}
+		s.TakeOver(start, "host", Takeover{AccountUsage: usage, Again: true})
+	}
+	if got := used(s, start); got != 100 {
+		t.Errorf("got %v used, want 100", got)
+	}
+}
+
+// Guards against a registration of an earlier attempt that arrives after the owner has
+// dropped the host's dispatches, and would wait and be charged as another request.
+func TestLateRegistrationOfADroppedRequestIsIgnored(t *testing.T) {
 	s := newSingleScheduler(2)
 	s.Register(start, "host", call(1))
-	now := start.Add(permitFlight - 1)
-	s.TakeOver(now, "host", Takeover{})
-	again := permits(s.Register(now, "host", call(1)))
-	if got := s.Status(now)[0].Running(); got != 1 || again[1].Endpoint == "" {
-		t.Errorf("got permits %v and %d requests at the endpoints, want the permit again and 1", again, got)
-	}
-	charged := used(s, now)
-	now = start.Add(permitFlight)
-	s.TakeOver(now, "host", Takeover{})
-	if got := s.Status(now)[0].Running(); got != 0 {
-		t.Errorf("got %d requests at the endpoints, want the slot free", got)
-	}
-	s.Register(now, "host", call(1))
-	if got := used(s, now); got > charged {
-		t.Errorf("got %v charged, want %v as before", got, charged)
+	s.Done(start, "host", Done{ID: 1, Outcome: Unreachable})
+	second := call(1)
+	second.Attempt = 1
+	now := start.Add(time.Second) // the endpoint is paused after its failure
+	s.Register(now, "host", second)
+	s.RemoveHost(now, "host")
+	before := used(s, now)
+	if got := s.Register(now, "host", call(1)); len(got) != 0 || s.HasWaiting() || used(s, now) != before {
+		t.Errorf("got %v, waiting %t and %v charged, want it ignored", got, s.HasWaiting(), used(s, now)-before)
 	}
 }
