bbtschedule: keep all hosts from endpoints that are too busy for all

Each host heard for itself that an endpoint is busy, by a request that was rejected. In a fleet of many hosts these rejections used up attempts of requests and the retry budget.

A pause speaks of one host, yet tells of the endpoint's load. Once three hosts were told in succession and the endpoint has taken no request meanwhile that was permitted after the first of them, it is taken to be too busy for all: the others are kept from it until the first pause ends. A first event or a complete answer ends that.

--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"bluebelltray/core/bbtcatalog"
-	"bluebelltray/core/bbtfleet"
 )
 
 // Parameters of endpoint scheduling. The defaults apply until an endpoint or
@@ -50,8 +49,8 @@
 	failureRate         estimate // share of its answers that fail or break off
 	cache               prefixCache
 	stated              stated
-	hostPauses          map[bbtfleet.HostID]time.Time // until which it wants no requests from a host
-	crash               *crash                        // the latest one that is possible; nil if none is
+	hostPauses          hostPauses
+	crash               *crash // the latest one that is possible; nil if none is
 
 	// Set by order.
 	removed  bool       // no longer among the service's endpoints
--- a/core/bbtschedule/pause.go
+++ b/core/bbtschedule/pause.go
@@ -24,33 +24,14 @@
 	if e == nil || p.Remaining <= 0 || incarnationOf(e.record).Succeeds(p.Incarnation) {
 		return
 	}
-	for h, until := range e.hostPauses {
-		if !now.Before(until) {
-			delete(e.hostPauses, h)
-		}
-	}
-	if e.hostPauses == nil {
-		e.hostPauses = make(map[bbtfleet.HostID]time.Time)
-	}
-	until := later(e.hostPauses[host], now.Add(min(p.Remaining, MaxPause)))
-	e.hostPauses[host] = until
-	e.service.hostPausesEnd = later(e.service.hostPausesEnd, until)
+	e.hostPauses.add(now, host, now.Add(min(p.Remaining, MaxPause)))
+	e.service.hostPausesEnd = later(e.service.hostPausesEnd, e.hostPauses.end(host))
 }
 
-// pausesHost reports whether the endpoint wants no requests from a host now.
+// pausesHost reports whether the endpoint wants no requests from a host now, as it has
+// said to the host or to all hosts that asked.
 func (e *endpoint) pausesHost(now time.Time, host bbtfleet.HostID) bool {
-	return now.Before(e.hostPauses[host])
-}
-
-// pausedHosts returns the number of hosts that the endpoint wants no requests from now.
-func (e *endpoint) pausedHosts(now time.Time) int {
-	n := 0
-	for _, until := range e.hostPauses {
-		if now.Before(until) {
-			n++
-		}
-	}
-	return n
+	return now.Before(e.hostPauses.end(host))
 }
 
 // openTo returns the part of the slots of available endpoints that a host's requests may
@@ -70,7 +51,7 @@
 			open += n
 			continue
 		}
-		if left := e.hostPauses[host].Sub(now); wait == 0 || left < wait {
+		if left := e.hostPauses.end(host).Sub(now); wait == 0 || left < wait {
 			wait = left
 		}
 	}
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -15,6 +15,7 @@
 	}
 	s.recordStated(now, now, r.endpoint, f.Limit)
 	r.endpoint.firstEvent(now, r)
+	r.endpoint.hostPauses.taken(now, r.granted)
 	s.recordLife(now, r)
 	s.noticeLifted(s.suspects.answered(&r.reg))
 	return s.grantAt(now, r.endpoint)
@@ -37,6 +38,7 @@
 		s.refund(now, &r.reg, now.Sub(r.granted))
 		s.suspects.notRun(now, &r.reg)
 	case Finished:
+		r.endpoint.hostPauses.taken(now, r.granted)
 		s.recordLife(now, r)
 		s.noticeLifted(s.suspects.finished(&r.reg))
 	case ConnectionLost:
--- a/core/bbtschedule/status.go
+++ b/core/bbtschedule/status.go
@@ -81,7 +81,7 @@
 		Slots:                 e.slots(slotShare),
 		Available:             e.available(now),
 		Draining:              e.draining(),
-		PausedHosts:           e.pausedHosts(now),
+		PausedHosts:           e.hostPauses.active(now),
 		Cold:                  now.Before(e.coldUntil),
 		BacklogMs:             max(0, float64(e.prefillDoneAt.Sub(now))/float64(time.Millisecond)),
 		PrefillMicrosPerToken: prefill * 1000,
