--- a/core/bbtentry/restate.go
+++ b/core/bbtentry/restate.go
@@ -32,6 +32,7 @@
 	if lacks == bbtschedule.LacksEverything {
 		t = e.limitUsage.takeover(now)
 		t.Learned, t.Limits, t.Draining, t.Again = e.learned, e.limits.takeover(now), e.draining.List(), true
+		t.Pauses = e.pauses.takeover(now)
 	}
 	for _, id := range e.sortedIDs() {
 		if c := e.calls[id]; c.running {
--- a/core/bbtschedule/endpoint.go
+++ b/core/bbtschedule/endpoint.go
@@ -50,6 +50,7 @@
 	failureRate         estimate // share of its answers that fail or break off
 	cache               prefixCache
 	stated              stated
+	hostPauses          hostPauses
 	crash               *crash // the latest one that is possible; nil if none is
 
 	// Set by order.
--- a/core/bbtschedule/running.go
+++ b/core/bbtschedule/running.go
@@ -15,6 +15,7 @@
 	}
 	s.recordStated(now, now, r.endpoint, f.Limit)
 	r.endpoint.firstEvent(now, r)
+	r.endpoint.hostPauses.taken(now, r.granted)
 	s.recordLife(now, r)
 	s.noticeLifted(s.suspects.answered(&r.reg))
 	return s.grantAt(now, r.endpoint)
@@ -23,12 +24,13 @@
 // Done records the end of a run.
 func (s *Scheduler) Done(now time.Time, from bbtfleet.HostID, d Done) []Action {
 	s.recordDraining(now, d.Draining)
+	s.recordPause(now, from, d.Pause)
 	r := s.runs[key{from, d.ID}]
 	if r == nil || r.reg.Attempt != d.Attempt {
 		return nil
 	}
-	// The request of a permit that is returned since its endpoint is draining is registered again.
-	returned := d.Outcome == Unused && d.Draining != (Incarnation{})
+	// The request of a permit that is returned since its endpoint takes none is registered again.
+	returned := d.Outcome == Unused && (d.Draining != (Incarnation{}) || d.Pause.Remaining > 0)
 	s.settled.put(now, r.key, settlement{attempt: d.Attempt, forgotten: returned})
 	if d.Outcome == Unused && r.firstEvent {
 		d.Outcome = Cancelled // a permit that came twice was returned; the other one was used
@@ -50,11 +52,15 @@
 		}
 		s.suspects.notRun(now, &r.reg)
 	case Finished:
+		r.endpoint.hostPauses.taken(now, r.granted)
 		s.recordLife(now, r)
 		s.noticeLifted(s.suspects.finished(&r.reg))
 	case ConnectionLost:
 		out = s.judge(now, r)
 	}
+	if d.Pause.Remaining > 0 {
+		out = append(out, s.refusePaused(now, r.key.host, r.endpoint.service)...)
+	}
 	return append(out, s.grantAt(now, r.endpoint)...)
 }
 
@@ -137,6 +143,9 @@
 			s.recordStated(now, now.Add(-l.Age), e, l.Limit)
 		}
 	}
+	for _, p := range t.Pauses {
+		s.recordPause(now, from, p)
+	}
 	for _, i := range t.Draining {
 		s.recordDraining(now, i)
 	}
