platform: the era of the store's state in updates, log and counters

Nothing showed that the store had come back with an older copy of its state: the header that says so was not read, and no line told what a load held or how often the state was loaded. Updates now carry the era; one line per change of it names both revisions, whether the answer was a load or a watch, and the version that it holds. No decision uses the era yet.

--- a/core/bbtcatalog/change.go
+++ b/core/bbtcatalog/change.go
@@ -11,9 +11,11 @@
 }
 
 // Update holds all changes after a revision. A full update replaces all known
-// state.
+// state. An era ends when the platform returns with an older copy of its state,
+// whose revisions are given out again.
 type Update struct {
 	Revision uint64   `cbor:"1,keyasint"` // all changes up to it are included
 	Full     bool     `cbor:"2,keyasint,omitempty"`
 	Changes  []Change `cbor:"3,keyasint,omitempty"`
+	Era      uint64   `cbor:"4,keyasint,omitempty"` // of the platform's state; 0 if the platform names none
 }
--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"bluebelltray"
+	"bluebelltray/core/bbtcatalog"
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 )
@@ -40,6 +41,7 @@
 
 	mu          sync.Mutex
 	revision    uint64    // latest one known to the edge
+	era         uint64    // that the platform's last answer stated
 	lastAnswer  time.Time // when the platform last answered
 	cancelRead  context.CancelFunc
 	readStarted time.Time // when the current call started
@@ -96,7 +98,8 @@
 			}
 		case errors.Is(err, bluebelltray.ErrHistoryUnavailable):
 			loaded = false
-			r.edge.log.Info("platform's history is gone")
+			r.edge.counters.Add("platform-histories-gone", 1)
+			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownRevision()))
 		case r.edge.ctx.Err() == nil:
 			if !down {
 				down = true
@@ -125,6 +128,8 @@
 		if err != nil {
 			return err
 		}
+		r.edge.counters.Add("platform-loads", 1)
+		r.noteEra(u, after)
 		r.edge.post(platformUpdated{u, r.recordAnswer(previous, callStart)})
 		r.mu.Lock()
 		r.revision = max(r.revision, u.Revision)
@@ -139,6 +144,7 @@
 		}
 		return err
 	}
+	r.noteEra(u, after)
 	r.edge.post(platformUpdated{u, r.recordAnswer(previous, callStart)})
 	r.mu.Lock()
 	r.revision = max(r.revision, u.Revision)
@@ -149,6 +155,28 @@
 	return nil
 }
 
+// noteEra logs an answer in another era than the one before. known is the revision
+// that the edge knew when the call started.
+func (r *reader) noteEra(u bbtcatalog.Update, known uint64) {
+	r.mu.Lock()
+	before, first := r.era, r.lastAnswer.IsZero()
+	r.era = u.Era
+	r.mu.Unlock()
+	r.edge.counters.Set("platform-era", int64(u.Era))
+	if first || before == u.Era {
+		return
+	}
+	version := int64(0)
+	for _, c := range u.Changes {
+		if c.Config != nil {
+			version = c.Config.Version
+		}
+	}
+	r.edge.counters.Add("platform-era-changes", 1)
+	r.edge.log.Warn("platform's era changed", zap.Uint64("era", u.Era), zap.Uint64("before", before), zap.Bool("full", u.Full),
+		zap.Uint64("revision", u.Revision), zap.Uint64("known-revision", known), zap.Int64("version", version), zap.Int("changes", len(u.Changes)))
+}
+
 // watchTimeout returns how long the platform may hold the next watch.
 func (r *reader) watchTimeout() time.Duration {
 	if r.applyTime <= 0 {
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -26,6 +26,7 @@
 
 	sentTo    map[bbtfleet.HostID]map[bbtfleet.HostID]bool // receivers of any message by sender
 	connected map[bbtfleet.HostID]map[bbtfleet.HostID]bool // hosts connected to without a message, by host
+	options   []Option                                     // of edges that start
 }
 
 // node is the transport of one edge.
@@ -145,7 +146,7 @@
 	defer s.mu.Unlock()
 	cfg := &bbtcatalog.Config{Version: version, Services: []bbtcatalog.Service{{Name: "plain"}}, Accounts: []bbtcatalog.Account{limitedAccount}}
 	rev := s.update.Revision + 1
-	s.update = bbtcatalog.Update{Revision: rev, Full: true, Changes: []bbtcatalog.Change{
+	s.update = bbtcatalog.Update{Revision: rev, Era: s.update.Era, Full: true, Changes: []bbtcatalog.Change{
 		{Revision: rev, Config: cfg},
 		{Revision: 1, Endpoint: &bbtcatalog.Endpoint{ID: "i-0", Service: "plain", Address: "10.1.0.1:80", Slots: 16}},
 	}}
@@ -153,7 +154,11 @@
 	s.changed = make(chan struct{})
 }
 
+// answerTime is how long the store takes for an answer.
+const answerTime = time.Millisecond
+
 func (s *store) Load(context.Context) (bbtcatalog.Update, error) {
+	time.Sleep(answerTime)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -163,30 +168,36 @@
 }
 
 func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error) {
+	time.Sleep(answerTime)
 	s.mu.Lock()
 	u, changed, down := s.update, s.changed, s.down
 	s.mu.Unlock()
 	if down {
 		return bbtcatalog.Update{}, errors.New("store is down")
 	}
+	if after > u.Revision {
+		return bbtcatalog.Update{}, bluebelltray.ErrHistoryUnavailable
+	}
 	if u.Revision > after {
-		u.Full = false
-		return u, nil
+		return changesAfter(u, after), nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-changed:
 		s.mu.Lock()
-		silent := s.silentWatches
+		silent, restored := s.silentWatches, s.update.Era != u.Era
 		s.mu.Unlock()
+		if restored {
+			return bbtcatalog.Update{}, errors.New("connection reset")
+		}
 		if !silent {
 			return s.Watch(ctx, after, wait)
 		}
 		<-timer.C
 		return bbtcatalog.Update{}, bluebelltray.ErrHistoryUnavailable
 	case <-timer.C:
-		return bbtcatalog.Update{Revision: u.Revision}, nil
+		return bbtcatalog.Update{Revision: u.Revision, Era: u.Era}, nil
 	case <-ctx.Done():
 		return bbtcatalog.Update{}, ctx.Err()
 	}
@@ -213,7 +224,8 @@
 	settings := Settings{
 		Host: id, ListenAddr: string(id) + ":1", CallerPort: "1", PeerPort: 2, Seeds: seeds, FirstStart: firstStart, Bounds: bounds,
 	}
-	e := New(settings, s, n, WithCounters(bbtmetric.New()))
+	options := append([]Option{WithCounters(bbtmetric.New())}, w.options...)
+	e := New(settings, s, n, options...)
 	time.Sleep(10 * time.Millisecond) // virtual time, so that edges start one after the other
 	return e
 }
--- a/io/bbtplatform/client.go
+++ b/io/bbtplatform/client.go
@@ -98,7 +98,7 @@
 
 // get reads one resource. It fails unless the status is 200 OK.
 func (c *Client) get(ctx context.Context, timeout time.Duration, path string) (http.Header, []byte, error) {
-	header, status, data, err := c.fetcher.get(ctx, timeout, path)
+	header, status, data, err := c.fetcher.Get(ctx, timeout, path)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/io/bbtplatform/fetcher.go
+++ b/io/bbtplatform/fetcher.go
@@ -24,15 +24,9 @@
 	return &Fetcher{base: "http://" + addr, http: &http.Client{Transport: &http.Transport{DisableCompression: true}}, maxBodyBytes: maxBodyBytes}
 }
 
-// Get reads one resource within timeout and returns its status and body. The
-// error is nil only if the whole body was read, regardless of the status.
-func (f *Fetcher) Get(ctx context.Context, timeout time.Duration, path string) (int, []byte, error) {
-	_, status, data, err := f.get(ctx, timeout, path)
-	return status, data, err
-}
-
-// get is like Get, but also returns the response header.
-func (f *Fetcher) get(ctx context.Context, timeout time.Duration, path string) (http.Header, int, []byte, error) {
+// Get reads one resource within timeout and returns its header, status and body.
+// The error is nil only if the whole body was read, regardless of the status.
+func (f *Fetcher) Get(ctx context.Context, timeout time.Duration, path string) (http.Header, int, []byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, f.base+path, nil)
