bbtcatalog: a host that has loaded the state tells removals before it

A host that learnt of removed endpoints from a peer alone went on sending them requests, and kept zones out of service, when that peer had started or loaded its state after the removal: a load lists what there is, so the peer had no tombstone to pass on, and its answer held the changes after a revision alone.

The peer now answers with its full state if the asker's revision is before its last load, as it did already where tombstones had been trimmed. Before the change, TestPeerIsToldOfRemovalsBeforeTheLoad printed

got endpoints "ab", want a

--- a/core/bbtcatalog/keeper.go
+++ b/core/bbtcatalog/keeper.go
@@ -28,7 +28,7 @@
 // concurrent use. The zero value is an empty catalog without a drain timeout.
 type Catalog struct {
 	revision        uint64
-	trimmedRevision uint64 // tombstones up to it may have been deleted
+	trimmedRevision uint64 // removals up to it may be unknown
 	config          item
 	endpoints       map[string]item
 	zones           map[string]item
@@ -74,6 +74,7 @@
 	}
 	if u.Full && u.Revision > cat.revision {
 		changed = cat.removeMissing(now, u.Revision, listed) || changed
+		cat.trimmedRevision = max(cat.trimmedRevision, u.Revision)
 	}
 	cat.revision = max(cat.revision, u.Revision)
 	cat.trimTombstones(now)
--- a/core/bbtcatalog/keeper_test.go
+++ b/core/bbtcatalog/keeper_test.go
@@ -136,6 +136,18 @@
 	}
 }
 
+// Guards against a host that keeps using what was removed, since the peer that it asks
+// has begun after the removal and so does not know of it.
+func TestPeerIsToldOfRemovalsBeforeTheLoad(t *testing.T) {
+	var lagging, cat bbtcatalog.Catalog
+	lagging.Apply(start, update(config(1, 1), endpoint(2, "a"), endpoint(3, "b")))
+	cat.Apply(start, bbtcatalog.Update{Revision: 4, Full: true, Changes: []bbtcatalog.Change{config(1, 1), endpoint(2, "a")}})
+	lagging.Apply(start, cat.UpdateSince(lagging.Revision()))
+	if got := ids(&lagging, start); got != "a" {
+		t.Errorf("got endpoints %q, want a", got)
+	}
+}
+
 func TestRouteHasLongestMatchingPrefix(t *testing.T) {
 	ix := bbtcatalog.NewIndex(&bbtcatalog.Config{Routes: []bbtcatalog.Route{
 		{Name: "short", Domain: "h", Prefix: "/a/"},
