bbtcatalog: order what the platform publishes by era, then revision

After the store had come back from an older copy of its state, some hosts never got the next configuration: callers got 404 on routes that operators had added, and requests were decided by the version before, until a restart. All hosts loaded the state 57 times a second meanwhile.

Cause: one counter, the revision, ordered everything, though the store begins a new sequence with a copy. A host watched from the highest revision that it ever knew; the store refused that until its new revisions had reached it, and then answered without what lay between. The catalog dropped changes whose revision was below that of the known one, and hosts compared their revisions across eras, so those who missed a change never heard of it.

Evidence: the added line shows at all hosts a full state of era 2, revision 20, while they watch after 21.

Now a position is an era and a revision, in updates, the catalog, requests and digests between hosts and the reader. An answer to a watch in another era leads to a load. A new era needs a full state; of an earlier era's updates only a higher configuration counts, since operators number these themselves. A host asks a peer that has a higher version in force, wherever both are. A load that spans two eras begins anew.

The state of a new era is still taken as it is; what the copy lacks or takes back follows. TestHostFollowsAStoreThatReturnsFromACopy passed before, too: it shows the whole path on a process, and does not hit the moment.

--- a/core/bbtcatalog/example_test.go
+++ b/core/bbtcatalog/example_test.go
@@ -21,6 +21,6 @@
 		{Revision: 1, Config: &bbtcatalog.Config{Version: 3}},
 		{Revision: 2, Endpoint: &bbtcatalog.Endpoint{ID: "tracking-1"}},
 	}})
-	fmt.Println(cat.Index().Version(), cat.Endpoints(start)[0].Endpoint.ID, len(cat.UpdateSince(1).Changes))
+	fmt.Println(cat.Index().Version(), cat.Endpoints(start)[0].Endpoint.ID, len(cat.UpdateSince(bbtcatalog.Position{Revision: 1}, 3).Changes))
 	// Output: 3 tracking-1 1
 }
--- a/core/bbtcatalog/keeper_test.go
+++ b/core/bbtcatalog/keeper_test.go
@@ -60,7 +60,7 @@
 	if got := ids(&cat, start); got != "" {
 		t.Errorf("got endpoints %q, want none", got)
 	}
-	if got := cat.Revision(); got != 6 {
+	if got := cat.Position().Revision; got != 6 {
 		t.Errorf("got revision %d, want 6", got)
 	}
 }
@@ -82,7 +82,7 @@
 // An endpoint may also be removed for good right after a platform outage.
 func TestEndpointRemovedAfterOutageIsDroppedWithinDrainTimeout(t *testing.T) {
 	const drain = 2 * time.Second
-	cat := bbtcatalog.NewCatalog(drain)
+	cat := bbtcatalog.NewCatalog(bbtcatalog.Bounds{Drain: drain})
 	cat.Apply(start, update(endpoint(1, "a")))
 	cat.OutageEnded(start)
 	removed := start.Add(100 * time.Millisecond)
@@ -109,30 +109,30 @@
 	var cat bbtcatalog.Catalog
 	zone := "a"
 	cat.Apply(start, update(endpoint(1, "a"), endpoint(2, "b"), bbtcatalog.Change{Revision: 3, Zone: &zone}))
-	if !cat.ZoneOutOfService("a") {
+	if !cat.ZoneOutOfService(start, "a") {
 		t.Fatal("got zone a in service, want it out of service")
 	}
 	cat.Apply(start, bbtcatalog.Update{Revision: 9, Full: true, Changes: []bbtcatalog.Change{endpoint(2, "b")}})
-	if got := ids(&cat, start); got != "b" || cat.ZoneOutOfService("a") {
-		t.Errorf("got endpoints %q, zone out of service %t; want only b and the zone in service", got, cat.ZoneOutOfService("a"))
+	if got := ids(&cat, start); got != "b" || cat.ZoneOutOfService(start, "a") {
+		t.Errorf("got endpoints %q, zone out of service %t; want only b and the zone in service", got, cat.ZoneOutOfService(start, "a"))
 	}
 }
 
 func TestPeerCatchesUp(t *testing.T) {
 	var cat, peer bbtcatalog.Catalog
 	cat.Apply(start, update(config(1, 1), endpoint(2, "a"), endpoint(3, "b")))
-	peer.Apply(start, cat.UpdateSince(0))
+	peer.Apply(start, cat.UpdateSince(bbtcatalog.Position{}, 0))
 	if got := ids(&peer, start); got != "ab" || peer.Index().Version() != 1 {
 		t.Fatalf("got endpoints %q and version %d, want ab and 1", got, peer.Index().Version())
 	}
 	cat.Apply(start, update(removal(4, "a"), config(5, 2)))
-	delta := cat.UpdateSince(peer.Revision())
+	delta := cat.UpdateSince(peer.Position(), peer.Index().Version())
 	if len(delta.Changes) != 2 {
 		t.Errorf("got %d changes, want the 2 that the peer is missing", len(delta.Changes))
 	}
 	peer.Apply(start, delta)
-	if got := ids(&peer, start); got != "b" || peer.Index().Version() != 2 || peer.Revision() != 5 {
-		t.Errorf("got endpoints %q, version %d, revision %d; want b, 2, 5", got, peer.Index().Version(), peer.Revision())
+	if got := ids(&peer, start); got != "b" || peer.Index().Version() != 2 || peer.Position().Revision != 5 {
+		t.Errorf("got endpoints %q, version %d, revision %d; want b, 2, 5", got, peer.Index().Version(), peer.Position().Revision)
 	}
 }
 
@@ -142,7 +142,7 @@
 	var lagging, cat bbtcatalog.Catalog
 	lagging.Apply(start, update(config(1, 1), endpoint(2, "a"), endpoint(3, "b")))
 	cat.Apply(start, bbtcatalog.Update{Revision: 4, Full: true, Changes: []bbtcatalog.Change{config(1, 1), endpoint(2, "a")}})
-	lagging.Apply(start, cat.UpdateSince(lagging.Revision()))
+	lagging.Apply(start, cat.UpdateSince(lagging.Position(), 1))
 	if got := ids(&lagging, start); got != "a" {
 		t.Errorf("got endpoints %q, want a", got)
 	}
--- a/core/bbtview/wire.go
+++ b/core/bbtview/wire.go
@@ -12,6 +12,7 @@
 	Age            uint32 `cbor:"4,keyasint,omitempty"` // time in ms since the platform confirmed the view, or AgeUnknown
 	Refused        uint64 `cbor:"5,keyasint,omitempty"` // revision of the newest refused configuration, if newer than the active one
 	RefusedContent uint64 `cbor:"6,keyasint,omitempty"` // content hash of that configuration's manifest
+	Era            uint64 `cbor:"7,keyasint,omitempty"` // era of Hosts, if the platform numbers its revisions anew after a loss
 }
 
 // Version returns the version of the active configuration.
--- a/io/bbtedge/catalog.go
+++ b/io/bbtedge/catalog.go
@@ -1,6 +1,7 @@
 package bbtedge
 
 import (
+	"slices"
 	"time"
 
 	"bluebelltray/core/bbtcatalog"
@@ -16,9 +17,11 @@
 )
 
 // digest returns the digest of this host's view that peers are sent. Its field
-// Hosts holds the revision of the catalog.
+// Hosts holds the revision of the catalog's position, Revision the version of the
+// configuration in force.
 func (e *Edge) digest(now time.Time) bbtview.Digest {
-	d := bbtview.Digest{Revision: uint64(e.index.Load().Version()), Hosts: e.catalog.Revision(), Age: bbtview.AgeUnknown}
+	at := e.catalog.Position()
+	d := bbtview.Digest{Revision: uint64(e.index.Load().Version()), Hosts: at.Revision, Era: at.Era, Age: bbtview.AgeUnknown}
 	if at := e.confirmedAt(); !at.IsZero() {
 		d.Age = uint32(min(now.Sub(at).Milliseconds(), int64(bbtview.AgeUnknown-1)))
 	}
@@ -38,7 +41,8 @@
 }
 
 // compareDigest records when the platform last confirmed a peer's view, and asks
-// the peer for the changes that this host lacks.
+// the peer for the changes that this host lacks. A version that operators published
+// may be in force at the peer although the platform has lost it.
 func (e *Edge) compareDigest(now time.Time, from bbtfleet.HostID, d bbtview.Digest) {
 	if d.Age != bbtview.AgeUnknown {
 		at := now.Add(-time.Duration(d.Age) * time.Millisecond)
@@ -46,24 +50,33 @@
 			e.peerConfirmedAt[from] = at
 		}
 	}
-	if d.Hosts <= e.catalog.Revision() || now.Sub(e.updateRequestedAt) < minUpdateRequestInterval {
+	at, version := e.catalog.Position(), e.index.Load().Version()
+	theirs := bbtcatalog.Position{Era: d.Era, Revision: d.Hosts}
+	if !at.Before(theirs) && int64(d.Revision) <= version || now.Sub(e.updateRequestedAt) < minUpdateRequestInterval {
 		return
 	}
 	e.updateRequestedAt = now
-	e.send(from, UpdateRequest{e.catalog.Revision()})
+	e.send(from, UpdateRequest{Revision: at.Revision, Era: at.Era, Version: version})
 }
 
 // applyUpdate applies published changes to the catalog and logs them.
 func (e *Edge) applyUpdate(now time.Time, u bbtcatalog.Update, from string) {
-	before, version := e.catalog.Revision(), e.index.Load().Version()
+	before, version := e.catalog.Position(), e.index.Load().Version()
+	var known []bbtcatalog.ListedEndpoint
+	if u.Full {
+		known = e.catalog.Endpoints(now)
+	}
 	changed := e.catalog.Apply(now, u)
-	e.reader.setRevision(e.catalog.Revision(), from != "platform")
+	e.reader.setPosition(e.catalog.Position(), from != "platform")
 	if !changed {
 		return
 	}
 	e.publishCatalog(now)
 	for _, c := range u.Changes {
-		e.logChange(c, before, from)
+		if c.Endpoint != nil && !c.Removed && slices.ContainsFunc(known, func(l bbtcatalog.ListedEndpoint) bool { return l.Endpoint == *c.Endpoint }) {
+			continue
+		}
+		e.logChange(bbtcatalog.Position{Era: u.Era, Revision: c.Revision}, c, before, from)
 	}
 	if v := e.index.Load().Version(); v != version {
 		e.counters.Set("configuration-version", v)
@@ -72,8 +85,8 @@
 }
 
 // logChange logs a change of an endpoint or an availability zone.
-func (e *Edge) logChange(c bbtcatalog.Change, before uint64, from string) {
-	if c.Revision <= before {
+func (e *Edge) logChange(at bbtcatalog.Position, c bbtcatalog.Change, before bbtcatalog.Position, from string) {
+	if !before.Before(at) {
 		return
 	}
 	switch {
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -116,7 +116,7 @@
 		events:          make(chan event, eventQueueCapacity),
 		ctx:             ctx,
 		cancel:          cancel,
-		catalog:         bbtcatalog.NewCatalog(s.Bounds.Drain),
+		catalog:         bbtcatalog.NewCatalog(s.Bounds),
 		detector:        bbtmember.New(s.Host, bbtfleet.Incarnation(incarnation), rng),
 		rng:             rng,
 		election:        bbtlead.New(bbtlead.Host{ID: s.Host, Incarnation: incarnation}),
@@ -277,7 +277,7 @@
 	e.counters.Set("permits-out", int64(running))
 	e.counters.Set("endpoints-cold", int64(cold))
 	e.counters.Set("requests-in-hand", int64(e.entry.Len()))
-	e.counters.Set("platform-revision", int64(e.catalog.Revision()))
+	e.counters.Set("platform-revision", int64(e.catalog.Position().Revision))
 	e.counters.Set("hosts-up", int64(len(*e.entrances.Load())))
 	if at := e.reader.confirmedAt(); !at.IsZero() {
 		e.counters.Set("platform-age-ms", now.Sub(at).Milliseconds())
--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -82,7 +82,7 @@
 // the entry role reports to a new owner need a restart.
 func (ev settingsReloaded) apply(e *Edge, _ time.Time) {
 	e.settings.Bounds = ev.settings.Bounds
-	e.catalog.SetDrainTimeout(ev.settings.Bounds.Drain)
+	e.catalog.SetBounds(ev.settings.Bounds)
 	e.scheduler.SetBounds(ev.settings.Bounds)
 	e.log.Info("settings reloaded", zap.Any("bounds", ev.settings.Bounds))
 }
--- a/io/bbtedge/message.go
+++ b/io/bbtedge/message.go
@@ -14,9 +14,12 @@
 	Hosts []bbtmember.Change `cbor:"1,keyasint"`
 }
 
-// UpdateRequest asks a host for the catalog changes after a revision.
+// UpdateRequest asks a host for the catalog changes after a position, and for a
+// configuration of a higher version.
 type UpdateRequest struct {
 	Revision uint64 `cbor:"1,keyasint"`
+	Era      uint64 `cbor:"2,keyasint,omitempty"`
+	Version  int64  `cbor:"3,keyasint,omitempty"` // of the configuration in force
 }
 
 // NewCodec returns a codec for all messages between edges.
--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -40,9 +40,9 @@
 	applyTime time.Duration // time within which a change has to be in force
 
 	mu          sync.Mutex
-	revision    uint64    // latest one known to the edge
-	era         uint64    // that the platform's last answer stated
-	lastAnswer  time.Time // when the platform last answered
+	position    bbtcatalog.Position // latest one known to the edge
+	era         uint64              // that the platform's last answer stated
+	lastAnswer  time.Time           // when the platform last answered
 	cancelRead  context.CancelFunc
 	readStarted time.Time // when the current call started
 	idle        bool      // this host leaves reading to its peers
@@ -56,15 +56,17 @@
 	return r.lastAnswer
 }
 
-// setRevision records the revision that the edge knows. A new one that comes from
-// a peer while a watch has been open for staleWatchAge shows that the watch no
-// longer reports changes, so it is cancelled.
-func (r *reader) setRevision(revision uint64, fromPeer bool) {
+// setPosition records the position that the edge knows. A later one that comes from
+// a peer while a watch has been open for staleWatchAge shows that the watch no longer
+// reports changes, so it is cancelled.
+func (r *reader) setPosition(position bbtcatalog.Position, fromPeer bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	ahead := revision > r.revision
-	r.revision = revision
-	if fromPeer && ahead && r.cancelRead != nil && time.Since(r.readStarted) > staleWatchAge {
+	if !r.position.Before(position) {
+		return
+	}
+	r.position = position
+	if fromPeer && r.cancelRead != nil && time.Since(r.readStarted) > staleWatchAge {
 		r.cancelRead()
 	}
 }
@@ -85,7 +87,7 @@
 	for r.edge.ctx.Err() == nil {
 		if r.isIdle() {
 			r.sleep(idlePeriod)
-			loaded = r.knownRevision() > 0
+			loaded = r.knownPosition().Revision > 0
 			continue
 		}
 		err := r.read(loaded)
@@ -97,9 +99,9 @@
 				r.edge.log.Info("platform regained")
 			}
 		case errors.Is(err, bluebelltray.ErrHistoryUnavailable):
-			loaded = false
 			r.edge.counters.Add("platform-histories-gone", 1)
-			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownRevision()))
+			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownPosition().Revision), zap.Error(err))
+			loaded = false
 		case r.edge.ctx.Err() == nil:
 			if !down {
 				down = true
@@ -117,7 +119,7 @@
 	ctx, cancel := context.WithCancel(r.edge.ctx)
 	defer cancel()
 	r.mu.Lock()
-	after, wait := r.revision, r.watchTimeout()
+	after, wait := r.position, r.watchTimeout()
 	r.cancelRead, r.readStarted = cancel, time.Now()
 	previous := r.lastAnswer
 	r.mu.Unlock()
@@ -131,9 +133,7 @@
 		r.edge.counters.Add("platform-loads", 1)
 		r.noteEra(u, after)
 		r.edge.post(platformUpdated{u, r.recordAnswer(previous, callStart)})
-		r.mu.Lock()
-		r.revision = max(r.revision, u.Revision)
-		r.mu.Unlock()
+		r.setPosition(u.Position(), false)
 		return nil
 	}
 	u, err := r.source.Watch(ctx, after, wait)
@@ -145,19 +145,20 @@
 		return err
 	}
 	r.noteEra(u, after)
+	if u.Era != after.Era {
+		return errors.Wrapf(bluebelltray.ErrHistoryUnavailable, "watch after era %d answered in era %d", after.Era, u.Era)
+	}
 	r.edge.post(platformUpdated{u, r.recordAnswer(previous, callStart)})
-	r.mu.Lock()
-	r.revision = max(r.revision, u.Revision)
-	r.mu.Unlock()
+	r.setPosition(u.Position(), false)
 	if len(u.Changes) > 0 {
 		r.sleep(time.Duration(batchFraction * float64(r.applyTime)))
 	}
 	return nil
 }
 
-// noteEra logs an answer in another era than the one before. known is the revision
+// noteEra logs an answer in another era than the one before. known is the position
 // that the edge knew when the call started.
-func (r *reader) noteEra(u bbtcatalog.Update, known uint64) {
+func (r *reader) noteEra(u bbtcatalog.Update, known bbtcatalog.Position) {
 	r.mu.Lock()
 	before, first := r.era, r.lastAnswer.IsZero()
 	r.era = u.Era
@@ -174,7 +175,7 @@
 	}
 	r.edge.counters.Add("platform-era-changes", 1)
 	r.edge.log.Warn("platform's era changed", zap.Uint64("era", u.Era), zap.Uint64("before", before), zap.Bool("full", u.Full),
-		zap.Uint64("revision", u.Revision), zap.Uint64("known-revision", known), zap.Int64("version", version), zap.Int("changes", len(u.Changes)))
+		zap.Uint64("revision", u.Revision), zap.Uint64("known-revision", known.Revision), zap.Int64("version", version), zap.Int("changes", len(u.Changes)))
 }
 
 // watchTimeout returns how long the platform may hold the next watch.
@@ -199,11 +200,11 @@
 	return !previous.IsZero() && callStart.Sub(previous) > outageThreshold
 }
 
-// knownRevision returns the revision that the edge knows.
-func (r *reader) knownRevision() uint64 {
+// knownPosition returns the position that the edge knows.
+func (r *reader) knownPosition() bbtcatalog.Position {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.revision
+	return r.position
 }
 
 // isIdle reports whether this host leaves reading to its peers.
--- a/io/bbtedge/restore_test.go
+++ b/io/bbtedge/restore_test.go
@@ -43,6 +43,15 @@
 	s.changed = make(chan struct{})
 }
 
+// touch raises the store's revision without a change that hosts know of.
+func (s *store) touch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.update.Revision++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Guards against a store that has lost acknowledged changes without a trace in the log.
 func TestReturnOfAnOlderStateIsLogged(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -71,3 +80,74 @@
 		}
 	})
 }
+
+// Guards against watches that ask for a place in a state that is gone: the store has come
+// back from a copy, its revisions have reached those that hosts know, and a version is
+// published just then. Hosts must not miss it, whenever they last loaded the state.
+func TestVersionAfterTheReturnOfAnOlderStateReachesAllHosts(t *testing.T) {
+	for offset := time.Duration(0); offset < 2*answerTime; offset += answerTime / 4 {
+		synctest.Test(t, func(t *testing.T) {
+			w, s := newNetwork(t), newStore(4)
+			edges := []*Edge{w.join("a", s), w.join("b", s, "a"), w.join("c", s, "a")}
+			defer closeAll(edges...)
+			earlier := s.content()
+			s.publish(6)
+			s.publish(13)
+			time.Sleep(3 * time.Second)
+			s.restore(earlier)
+			time.Sleep(time.Second + offset)
+			s.publish(13)
+			time.Sleep(2 * time.Second)
+			s.publish(16)
+			time.Sleep(applyTime)
+			for _, e := range edges {
+				if got := e.Index().Version(); got != 16 {
+					t.Errorf("%s: got version %d, want 16 (offset %v)", e.settings.Host, got, offset)
+				}
+			}
+		})
+	}
+}
+
+// Guards against hosts that load the state of a restored store in a loop, since it
+// has no history after the revision that they know.
+func TestReturnOfAnOlderStateCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxReads = 5 // a watch that fails, two that time out at most, a load and a retry
+		w, s := newNetwork(t), newStore(4)
+		e := w.join("a", s)
+		defer e.Close()
+		earlier := s.content()
+		s.publish(6)
+		time.Sleep(3 * time.Second)
+		before := platformReads([]*Edge{e})
+		s.restore(earlier)
+		time.Sleep(4 * time.Second)
+		if got := platformReads([]*Edge{e}) - before; got > maxReads {
+			t.Errorf("got %d reads in 4 s, want at most %d", got, maxReads)
+		}
+	})
+}
+
+// Guards against a version that operators saw confirmed and that is older on hosts
+// which first read the store after it had come back without it.
+func TestHostsKeepAVersionThatTheStoreHasLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(4)
+		a := w.join("a", s)
+		earlier := s.content()
+		s.publish(6)
+		time.Sleep(3 * time.Second)
+		s.restore(earlier)
+		s.touch()
+		time.Sleep(3 * time.Second)
+		b := w.join("b", s, "a")
+		defer closeAll(a, b)
+		time.Sleep(applyTime)
+		for _, e := range []*Edge{a, b} {
+			if got := e.Index().Version(); got != 6 {
+				t.Errorf("%s: got version %d, want 6", e.settings.Host, got)
+			}
+		}
+	})
+}
--- a/io/bbtedge/roles.go
+++ b/io/bbtedge/roles.go
@@ -114,7 +114,7 @@
 	case MembershipSnapshot:
 		e.doDetector(now, e.detector.Merge(now, m.Hosts))
 	case UpdateRequest:
-		e.send(from, e.catalog.UpdateSince(m.Revision))
+		e.send(from, e.catalog.UpdateSince(bbtcatalog.Position{Era: m.Era, Revision: m.Revision}, m.Version))
 	case bbtcatalog.Update:
 		e.applyUpdate(now, m, string(from))
 	default:
--- a/io/bbtedge/status.go
+++ b/io/bbtedge/status.go
@@ -16,6 +16,7 @@
 	Ready         bool                        `json:"ready"`
 	Leaving       bool                        `json:"leaving"`
 	ConfigVersion int64                       `json:"configuration-version"`
+	Era           uint64                      `json:"platform-era"`
 	Revision      uint64                      `json:"platform-revision"`
 	PlatformAgeMs int64                       `json:"platform-age-ms"` // since the platform's last answer; -1 if there was none
 	Owner         string                      `json:"owner"`
@@ -38,7 +39,8 @@
 		Ready:         e.Ready(),
 		Leaving:       e.Leaving(),
 		ConfigVersion: e.index.Load().Version(),
-		Revision:      e.catalog.Revision(),
+		Era:           e.catalog.Position().Era,
+		Revision:      e.catalog.Position().Revision,
 		PlatformAgeMs: -1,
 		Owner:         string(e.entry.Owner()),
 		Share:         e.scheduler.Share(),
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -167,7 +167,7 @@
 	return s.update, nil
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error) {
+func (s *store) Watch(ctx context.Context, after bbtcatalog.Position, wait time.Duration) (bbtcatalog.Update, error) {
 	time.Sleep(answerTime)
 	s.mu.Lock()
 	u, changed, down := s.update, s.changed, s.down
@@ -175,11 +175,11 @@
 	if down {
 		return bbtcatalog.Update{}, errors.New("store is down")
 	}
-	if after > u.Revision {
+	if after.Revision > u.Revision {
 		return bbtcatalog.Update{}, bluebelltray.ErrHistoryUnavailable
 	}
-	if u.Revision > after {
-		return changesAfter(u, after), nil
+	if u.Revision > after.Revision {
+		return changesAfter(u, after.Revision), nil
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
--- a/io/bbtgateway/world_test.go
+++ b/io/bbtgateway/world_test.go
@@ -42,7 +42,7 @@
 
 func (s testSource) Load(context.Context) (bbtcatalog.Update, error) { return s.update, nil }
 
-func (s testSource) Watch(ctx context.Context, _ uint64, _ time.Duration) (bbtcatalog.Update, error) {
+func (s testSource) Watch(ctx context.Context, _ bbtcatalog.Position, _ time.Duration) (bbtcatalog.Update, error) {
 	select {
 	case u := <-s.changes:
 		return u, nil
--- a/source.go
+++ b/source.go
@@ -17,8 +17,9 @@
 	// Load returns the full published state.
 	Load(ctx context.Context) (bbtcatalog.Update, error)
 
-	// Watch returns the changes after a revision. If there are none yet, it waits
+	// Watch returns the changes after a position. If there are none yet, it waits
 	// for at most the given time. It returns ErrHistoryUnavailable if the platform
-	// no longer has the changes.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error)
+	// no longer has the changes. An update of another era than that of the position
+	// lacks changes, since platforms are asked by revision alone.
+	Watch(ctx context.Context, after bbtcatalog.Position, wait time.Duration) (bbtcatalog.Update, error)
 }
