bbtcatalog: an older copy takes nothing back that a host knows

When the store came back from an older copy, a host believed the copy at once: an endpoint that had said that it drains was used again, one that had left got requests until its entry expired, endpoints that had registered since the copy vanished, and a zone that operators had taken out of service came back.

Cause: a full state was taken for the present, and what it lacks for removed.

Now a process that a host has seen drain stays draining, one that was removed is held back until an entry that nobody renews would have expired (three heartbeats and one) or it registers again, and a restarted one isn't replaced by its former entry. Endpoints that the copy lacks stay for the grace of an outage, zones stay out for five seconds, unless the new era reports their removal. A line tells how many of each.

--- a/core/bbtcatalog/bounds.go
+++ b/core/bbtcatalog/bounds.go
@@ -16,5 +16,6 @@
 	RateSlack   float64       // tokens allowed beyond that; converted for a rate in requests
 	ColdOver    float64       // requests allowed to a cold endpoint within one second, as a multiple of its rate: 1.5 allows 150%; checked by tests only
 	ColdSlack   float64       // requests allowed beyond that; checked by tests only
+	Heartbeat   time.Duration // between two writes of an endpoint's entry; 0 if unknown
 	Lifetime    time.Duration // maximum lifetime of an address lookup result
 }
--- a/core/bbtcatalog/keeper.go
+++ b/core/bbtcatalog/keeper.go
@@ -26,10 +26,11 @@
 	outageEnd       time.Time // end of the last platform outage that this host saw
 	bounds          Bounds
 	index           *Index
+	restoration     Restoration
 }
 
 // NewCatalog returns an empty catalog. Of the bounds it uses Drain, how long an
-// endpoint may still be used after its removal.
+// endpoint may still be used after its removal, and Heartbeat.
 func NewCatalog(bounds Bounds) *Catalog { return &Catalog{bounds: bounds} }
 
 // SetBounds changes the operators' bounds.
@@ -57,12 +58,17 @@
 	if u.Era < cat.position.Era || u.Era > cat.position.Era && !u.Full {
 		return changed
 	}
+	begins := u.Era > cat.position.Era && cat.position.Revision > 0
+	if begins {
+		cat.OutageEnded(now)
+		cat.restoration = Restoration{}
+	}
 	listed := make(map[string]bool)
 	for _, c := range u.Changes {
 		switch {
 		case c.Endpoint != nil:
 			listed["e"+c.Endpoint.ID] = true
-			changed = cat.putEndpoint(now, Position{u.Era, c.Revision}, c) || changed
+			changed = cat.putEndpoint(now, Position{u.Era, c.Revision}, c, begins) || changed
 		case c.Zone != nil:
 			listed["z"+*c.Zone] = true
 			changed = cat.putZone(now, Position{u.Era, c.Revision}, c) || changed
@@ -92,8 +98,9 @@
 	return changed
 }
 
-// putEndpoint records a change of an endpoint unless a newer one is known.
-func (cat *Catalog) putEndpoint(now time.Time, at Position, c Change) bool {
+// putEndpoint records a change of an endpoint unless a newer one is known. begins
+// says that the change is of the first state of an era.
+func (cat *Catalog) putEndpoint(now time.Time, at Position, c Change, begins bool) bool {
 	if cat.endpoints == nil {
 		cat.endpoints = make(map[string]item)
 	}
@@ -102,11 +109,14 @@
 		return false
 	}
 	it := item{change: c, position: at, receivedAt: now}
-	if ok && c.Removed {
+	switch {
+	case ok && c.Removed:
 		it.change.Endpoint = old.change.Endpoint
-		if !old.change.Removed {
+		if !old.change.Removed && old.exists(now) {
 			it.effectiveAt = cat.removalTime(now, old.change.Endpoint)
 		}
+	case ok && begins:
+		cat.reconcile(now, old, &it)
 	}
 	cat.endpoints[c.Endpoint.ID] = it
 	return true
@@ -142,23 +152,6 @@
 	return recovered
 }
 
-// removeMissing removes the items that are not listed in a full update of the
-// given position.
-func (cat *Catalog) removeMissing(now time.Time, at Position, listed map[string]bool) bool {
-	changed := false
-	for id, it := range cat.endpoints {
-		if !listed["e"+id] && !it.change.Removed && !at.Before(it.position) {
-			changed = cat.putEndpoint(now, at, Change{Revision: at.Revision, Endpoint: it.change.Endpoint, Removed: true}) || changed
-		}
-	}
-	for zone, it := range cat.zones {
-		if !listed["z"+zone] && !it.change.Removed && !at.Before(it.position) {
-			changed = cat.putZone(now, at, Change{Revision: at.Revision, Zone: it.change.Zone, Removed: true}) || changed
-		}
-	}
-	return changed
-}
-
 // trimTombstones deletes removals older than the retention time.
 func (cat *Catalog) trimTombstones(now time.Time) {
 	for _, items := range []map[string]item{cat.endpoints, cat.zones} {
--- a/core/bbtcatalog/listing.go
+++ b/core/bbtcatalog/listing.go
@@ -19,7 +19,7 @@
 	for _, items := range []map[string]item{cat.endpoints, cat.zones} {
 		for _, id := range slices.Sorted(maps.Keys(items)) {
 			it := items[id]
-			if u.Full && it.position.Era == cat.position.Era || !u.Full && known.Before(it.position) {
+			if u.Full && it.position.Era == cat.position.Era && !it.unlisted || !u.Full && known.Before(it.position) {
 				u.Changes = append(u.Changes, it.change)
 			}
 		}
--- a/core/bbtcatalog/restore_test.go
+++ b/core/bbtcatalog/restore_test.go
@@ -7,6 +7,11 @@
 	"bluebelltray/core/bbtcatalog"
 )
 
+// process returns the change that publishes a process of endpoint e.
+func process(revision uint64, startMS int64, draining bool) bbtcatalog.Change {
+	return bbtcatalog.Change{Revision: revision, Endpoint: &bbtcatalog.Endpoint{ID: "e", Address: "10.0.0.1:80", StartTimeMS: startMS, Draining: draining}}
+}
+
 // copyOf returns the first state of an era.
 func copyOf(era, revision uint64, changes ...bbtcatalog.Change) bbtcatalog.Update {
 	return bbtcatalog.Update{Era: era, Revision: revision, Full: true, Changes: changes}
@@ -17,6 +22,19 @@
 	return bbtcatalog.Update{Era: era, Revision: revision, Changes: changes}
 }
 
+// state describes the use of endpoint e.
+func state(cat *bbtcatalog.Catalog, now time.Time) string {
+	list := cat.Endpoints(now)
+	switch {
+	case len(list) == 0:
+		return "unused"
+	case list[0].Endpoint.Draining:
+		return "draining"
+	default:
+		return "used"
+	}
+}
+
 // Guards against changes of an older copy's successors that are taken for older ones,
 // since their revisions are lower than known ones.
 func TestLowerRevisionsOfALaterEraAreNews(t *testing.T) {
@@ -66,3 +84,104 @@
 		t.Errorf("got version %d at %+v after a peer of an earlier era, want 15 in era 2", got, cat.Position())
 	}
 }
+
+// Guards against endpoints that vanish since an older copy lacks them.
+func TestEndpointMissingInACopyHasTimeToRegisterAgain(t *testing.T) {
+	for _, again := range []bool{true, false} {
+		var cat bbtcatalog.Catalog
+		cat.Apply(start, copyOf(1, 9, process(9, 1, false)))
+		cat.Apply(start, copyOf(2, 5))
+		if got := state(&cat, start.Add(time.Second)); got != "used" {
+			t.Errorf("got %s a second after the copy, want used", got)
+		}
+		want := "unused"
+		if again {
+			cat.Apply(start.Add(time.Second), later(2, 6, process(6, 1, false)))
+			want = "used"
+		}
+		if got := state(&cat, start.Add(bbtcatalog.OutageRecoveryTime)); got != want {
+			t.Errorf("registered again %t: got %s after the recovery time, want %s", again, got, want)
+		}
+	}
+}
+
+// Guards against requests to an endpoint whose drain, removal or restart an older copy
+// does not know.
+func TestOlderCopyTakesBackNeitherDrainNorRemoval(t *testing.T) {
+	const heartbeat, expiry = 1200 * time.Millisecond, 4 * 1200 * time.Millisecond
+	gone := process(8, 2, false)
+	gone.Removed = true
+	for name, c := range map[string]struct {
+		known, listed bbtcatalog.Change
+		want, later   string // use at once and after the time in which entries expire
+	}{
+		"drains":                   {process(8, 2, true), process(4, 2, false), "draining", "draining"},
+		"drained, restarted since": {process(8, 2, true), process(4, 3, false), "used", "used"},
+		"gone":                     {gone, process(4, 2, false), "unused", "used"},
+		"gone, restarted since":    {gone, process(4, 3, false), "used", "used"},
+		"gone, former process":     {gone, process(4, 1, false), "unused", "used"},
+		"runs, former process":     {process(8, 2, false), process(4, 1, true), "used", "used"},
+		"runs":                     {process(8, 2, false), process(4, 2, true), "draining", "draining"},
+	} {
+		cat := bbtcatalog.NewCatalog(bbtcatalog.Bounds{Heartbeat: heartbeat})
+		cat.Apply(start, copyOf(1, 7, process(7, 2, false)))
+		cat.Apply(start, later(1, 8, c.known))
+		cat.Apply(start, copyOf(2, 5, c.listed))
+		if got := state(cat, start.Add(3*heartbeat)); got != c.want {
+			t.Errorf("%s: got %s, want %s", name, got, c.want)
+		}
+		if got := state(cat, start.Add(expiry)); got != c.later {
+			t.Errorf("%s: got %s after the entry would have expired, want %s", name, got, c.later)
+		}
+	}
+}
+
+// Guards against an endpoint that is held back although it has registered again, and
+// against one that comes back since its entry in the copy expires.
+func TestHeldBackEndpointFollowsNewEntries(t *testing.T) {
+	for _, c := range []struct {
+		news bbtcatalog.Change
+		want string
+	}{{process(6, 2, false), "used"}, {removal(6, "e"), "unused"}} {
+		var cat bbtcatalog.Catalog
+		cat.Apply(start, later(0, 8, process(7, 2, false), removal(8, "e")))
+		cat.Apply(start, copyOf(1, 5, process(4, 2, false)))
+		cat.Apply(start, later(1, 6, c.news))
+		for _, after := range []time.Duration{0, time.Second, time.Minute} {
+			if got := state(&cat, start.Add(after)); got != c.want {
+				t.Errorf("removed %t: got %s after %v, want %s", c.news.Removed, got, after, c.want)
+			}
+		}
+	}
+}
+
+// Guards against a zone that is back in service since an older copy does not know
+// that operators have taken it out.
+func TestZoneMissingInACopyStaysOutOfService(t *testing.T) {
+	zone := "a"
+	out := func(revision uint64, removed bool) bbtcatalog.Change {
+		return bbtcatalog.Change{Revision: revision, Zone: &zone, Removed: removed}
+	}
+	for name, c := range map[string]struct {
+		news                []bbtcatalog.Change
+		atOnce, later, ever bool // out of service now, in two seconds, in a minute
+	}{
+		"no news":         {nil, true, true, false},
+		"published again": {[]bbtcatalog.Change{out(6, false)}, true, true, true},
+		"taken back":      {[]bbtcatalog.Change{out(6, false), out(7, true)}, false, false, false},
+	} {
+		var cat, peer bbtcatalog.Catalog
+		cat.Apply(start, copyOf(1, 8, out(8, false)))
+		peer.Apply(start, copyOf(1, 8, out(8, false)))
+		cat.Apply(start, copyOf(2, 5))
+		peer.Apply(start, cat.UpdateSince(peer.Position(), 0))
+		for _, u := range []*bbtcatalog.Catalog{&cat, &peer} {
+			u.Apply(start, later(2, 7, c.news...))
+			for after, want := range map[time.Duration]bool{0: c.atOnce, 2 * time.Second: c.later, time.Minute: c.ever} {
+				if got := u.ZoneOutOfService(start.Add(after), zone); got != want {
+					t.Errorf("%s: got out of service %t after %v, want %t", name, got, after, want)
+				}
+			}
+		}
+	}
+}
--- a/io/bbtedge/catalog.go
+++ b/io/bbtedge/catalog.go
@@ -67,7 +67,11 @@
 		known = e.catalog.Endpoints(now)
 	}
 	changed := e.catalog.Apply(now, u)
-	e.reader.setPosition(e.catalog.Position(), from != "platform")
+	at := e.catalog.Position()
+	e.reader.setPosition(at, from != "platform")
+	if at.Era > before.Era && before.Revision > 0 {
+		e.logRestoration(before, from)
+	}
 	if !changed {
 		return
 	}
@@ -84,6 +88,17 @@
 	}
 }
 
+// logRestoration logs that the platform has returned with an older copy of its state,
+// and what of the state before is kept.
+func (e *Edge) logRestoration(before bbtcatalog.Position, from string) {
+	at, r := e.catalog.Position(), e.catalog.Restoration()
+	e.counters.Add("platform-restorations", 1)
+	e.log.Warn("platform restored from a copy", zap.Uint64("era", at.Era), zap.Uint64("revision", at.Revision),
+		zap.Uint64("era-before", before.Era), zap.Uint64("revision-before", before.Revision), zap.String("from", from),
+		zap.Int("endpoints-unlisted", r.UnlistedEndpoints), zap.Int("endpoints-held-back", r.HeldBackEndpoints),
+		zap.Int("endpoints-still-draining", r.DrainingEndpoints), zap.Int("zones-unlisted", r.UnlistedZones))
+}
+
 // logChange logs a change of an endpoint or an availability zone.
 func (e *Edge) logChange(at bbtcatalog.Position, c bbtcatalog.Change, before bbtcatalog.Position, from string) {
 	if !before.Before(at) {
--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -76,7 +76,7 @@
 }
 
 // apply applies the bounds, the only settings that can change while the process
-// runs. The drain timeout, the bounds on rates and retries, and ApplyTime in the
+// runs. The drain timeout, the heartbeat, the bounds on rates and retries, and ApplyTime in the
 // decision whether this host reads the platform take effect at once. Grace,
 // Lifetime, ApplyTime in the reader's timeouts and the windows of the usage that
 // the entry role reports to a new owner need a restart.
