bbtedge: back off while the store keeps no history

A host whose watches are refused for lack of history loaded the state and watched again without any pause, for as long as the store did so.

The first refusal still leads to a load at once. Until a watch succeeds, each further one doubles the pause before the load, from 0.1 to 1 s. Before the change TestRepeatedLossOfTheHistoryBacksOff printed

got 10011 reads in 10 s, want at most 30

The test of the log line also looks at what is kept of the state before.

--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -84,6 +84,7 @@
 	loaded := false
 	down := false
 	backoff := minBackoff
+	reloading := false // no watch has succeeded since the last load that replaced a history
 	for r.edge.ctx.Err() == nil {
 		if r.isIdle() {
 			r.sleep(idlePeriod)
@@ -93,7 +94,10 @@
 		err := r.read(loaded)
 		switch {
 		case err == nil:
-			loaded, backoff = true, minBackoff
+			if loaded {
+				reloading, backoff = false, minBackoff
+			}
+			loaded = true
 			if down {
 				down = false
 				r.edge.log.Info("platform regained")
@@ -101,7 +105,11 @@
 		case errors.Is(err, bluebelltray.ErrHistoryUnavailable):
 			r.edge.counters.Add("platform-histories-gone", 1)
 			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownPosition().Revision), zap.Error(err))
-			loaded = false
+			if reloading {
+				r.sleep(backoff)
+				backoff = min(2*backoff, maxBackoff)
+			}
+			loaded, reloading = false, true
 		case r.edge.ctx.Err() == nil:
 			if !down {
 				down = true
--- a/io/bbtedge/restore_test.go
+++ b/io/bbtedge/restore_test.go
@@ -75,6 +75,9 @@
 				t.Errorf("got %s %v, want %v", field, got[field], want)
 			}
 		}
+		if got := lines.FilterMessage("platform restored from a copy").FilterField(zap.Uint64("revision-before", 2)).Len(); got != 1 {
+			t.Errorf("got %d lines on what is kept, want 1", got)
+		}
 		if got := e.counters.Get("platform-era-changes"); got != 1 {
 			t.Errorf("got %d counted changes of the era, want 1", got)
 		}
@@ -129,6 +132,26 @@
 	})
 }
 
+// Guards against a storm of calls to a store that cannot keep any history.
+func TestRepeatedLossOfTheHistoryBacksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const maxReads = 30
+		w, s := newNetwork(t), newStore(4)
+		s.noHistory = true
+		e := w.join("a", s)
+		defer e.Close()
+		time.Sleep(10 * time.Second)
+		if got := platformReads([]*Edge{e}); got > maxReads {
+			t.Errorf("got %d reads in 10 s, want at most %d", got, maxReads)
+		}
+		s.publish(6)
+		time.Sleep(applyTime)
+		if got := e.Index().Version(); got != 6 {
+			t.Errorf("got version %d, want 6", got)
+		}
+	})
+}
+
 // Guards against a version that operators saw confirmed and that is older on hosts
 // which first read the store after it had come back without it.
 func TestHostsKeepAVersionThatTheStoreHasLost(t *testing.T) {
--- a/io/bbtedge/world_test.go
+++ b/io/bbtedge/world_test.go
@@ -123,6 +123,7 @@
 	mu            sync.Mutex
 	down          bool
 	silentWatches bool // open watches report no change and end with an unavailable history
+	noHistory     bool // every watch ends at once with an unavailable history
 	update        bbtcatalog.Update
 	changed       chan struct{}
 }
@@ -175,7 +176,7 @@
 	if down {
 		return bbtcatalog.Update{}, errors.New("store is down")
 	}
-	if after.Revision > u.Revision {
+	if after.Revision > u.Revision || s.noHistory {
 		return bbtcatalog.Update{}, bluebelltray.ErrHistoryUnavailable
 	}
 	if u.Revision > after.Revision {
