bbtedge: the first watch after a failed call ends at once

A store that had come back from a copy was noticed two seconds late, and what it had published meanwhile came as late: when what was written again had brought its revisions up to those that hosts knew, their first watch was accepted and waited for the next change, since only an answer states the era.

After a failed call the next watch may be held for a millisecond only, so its answer tells the era; one call more for each outage. Before the change TestReturnOfAnOlderStateIsNoticedAtOnce printed

got version 13, want 16

--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -27,9 +27,12 @@
 	batchFraction   = 0.1
 	minBackoff      = 100 * time.Millisecond
 	maxBackoff      = time.Second
-	outageThreshold = time.Second            // time without an answer after which entries may have expired
-	staleWatchAge   = 500 * time.Millisecond // a watch open for longer has stopped reporting if a peer knows a newer revision
-	idlePeriod      = 200 * time.Millisecond // between checks whether an idle reader has to read again
+	outageThreshold = time.Second // time without an answer after which entries may have expired
+	// probeWait is how long the platform may hold the first watch after a failed call.
+	// Its answer tells whether the platform has returned with an older copy.
+	probeWait     = time.Millisecond
+	staleWatchAge = 500 * time.Millisecond // a watch open for longer has stopped reporting if a peer knows a newer revision
+	idlePeriod    = 200 * time.Millisecond // between checks whether an idle reader has to read again
 )
 
 // reader loads and watches the state that the platform publishes, and posts the
@@ -91,7 +94,7 @@
 			loaded = r.knownPosition().Revision > 0
 			continue
 		}
-		err := r.read(loaded)
+		err := r.read(loaded, down)
 		switch {
 		case err == nil:
 			if loaded {
@@ -122,12 +125,16 @@
 	}
 }
 
-// read makes one call to the platform, a load or a watch, and posts the result.
-func (r *reader) read(loaded bool) error {
+// read makes one call to the platform, a load or a watch, and posts the result. failed
+// says that the call before failed.
+func (r *reader) read(loaded, failed bool) error {
 	ctx, cancel := context.WithCancel(r.edge.ctx)
 	defer cancel()
 	r.mu.Lock()
 	after, wait := r.position, r.watchTimeout()
+	if failed {
+		wait = probeWait
+	}
 	r.cancelRead, r.readStarted = cancel, time.Now()
 	previous := r.lastAnswer
 	r.mu.Unlock()
--- a/io/bbtedge/restore_test.go
+++ b/io/bbtedge/restore_test.go
@@ -43,6 +43,13 @@
 	s.changed = make(chan struct{})
 }
 
+// setUp makes the store reachable again.
+func (s *store) setUp() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = false
+}
+
 // touch raises the store's revision without a change that hosts know of.
 func (s *store) touch() {
 	s.mu.Lock()
@@ -112,6 +119,30 @@
 	}
 }
 
+// Guards against a first watch that waits for changes of a state that is gone, while the
+// store has published others in the meantime under the same revisions.
+func TestReturnOfAnOlderStateIsNoticedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, s := newNetwork(t), newStore(4)
+		e := w.join("a", s)
+		defer e.Close()
+		earlier := s.content()
+		s.publish(6)
+		s.publish(13)
+		time.Sleep(3 * time.Second)
+		s.setDown()
+		s.restore(earlier)
+		s.publish(16)
+		s.touch()
+		time.Sleep(2 * time.Second)
+		s.setUp()
+		time.Sleep(maxBackoff + 100*time.Millisecond)
+		if got := e.Index().Version(); got != 16 {
+			t.Errorf("got version %d, want 16", got)
+		}
+	})
+}
+
 // Guards against hosts that load the state of a restored store in a loop, since it
 // has no history after the revision that they know.
 func TestReturnOfAnOlderStateCostsFewCalls(t *testing.T) {
