--- a/io/bbtedge/event.go
+++ b/io/bbtedge/event.go
@@ -98,13 +98,13 @@
 }
 
 // apply applies the bounds, the only settings that can change while the process
-// runs. The drain timeout, the bounds on rates and retries, and ApplyTime in the
+// runs. The drain timeout, the heartbeat, the bounds on rates and retries, and ApplyTime in the
 // decision whether this host reads the platform take effect at once. Grace,
 // Lifetime, ApplyTime in the reader's timeouts and the windows of the usage that
 // the entry role reports to a new owner need a restart.
 func (ev settingsReloaded) apply(e *Edge, _ time.Time) {
 	e.settings.Bounds = ev.settings.Bounds
-	e.catalog.SetDrainTimeout(ev.settings.Bounds.Drain)
+	e.catalog.SetBounds(ev.settings.Bounds)
 	e.scheduler.SetBounds(ev.settings.Bounds)
 	e.log.Info("settings reloaded", zap.Any("bounds", ev.settings.Bounds))
 }
--- a/io/bbtgateway/watchdog_test.go
+++ b/io/bbtgateway/watchdog_test.go
@@ -34,12 +34,12 @@
 
 func (s steady) Load(context.Context) (bbtcatalog.Update, error) { return s.update, nil }
 
-func (s steady) Watch(ctx context.Context, after uint64, wait time.Duration) (bbtcatalog.Update, error) {
+func (s steady) Watch(ctx context.Context, after bbtcatalog.Position, wait time.Duration) (bbtcatalog.Update, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
-		return bbtcatalog.Update{Revision: after}, nil
+		return bbtcatalog.Update{Revision: after.Revision, Era: after.Era}, nil
 	case <-ctx.Done():
 		return bbtcatalog.Update{}, ctx.Err()
 	}
