bbtedge: no endpoint at the address of a host or of the store

An odd entry among those of the servers with a host's own address got requests.

Now endpoints at the addresses of hosts for callers, or at this host's other pages or the store, are not used; a gauge and a line tell how many. TestEndpointAtAHostsAddressIsNotUsed, with the check taken out: "got endpoint own used true, want false", and four more.

--- a/io/bbtedge/catalog.go
+++ b/io/bbtedge/catalog.go
@@ -94,6 +94,6 @@
 	ix := e.catalog.Index()
 	e.index.Store(ix)
 	e.ready.Store(ix.Config() != nil)
-	e.doScheduler(e.scheduler.SetCatalog(now, ix, e.catalog.Endpoints(now)))
+	e.doScheduler(e.scheduler.SetCatalog(now, ix, e.endpoints(now)))
 	e.entry.KeepLimits(e.scheduler.HasEndpoint)
 }
--- a/io/bbtedge/edge.go
+++ b/io/bbtedge/edge.go
@@ -77,6 +77,7 @@
 	rng                *rand.Rand
 	membershipTickedAt time.Time
 	catalogPublishedAt time.Time
+	excludedEndpoints  int // at addresses of hosts
 	loadLoggedAt       time.Time
 	loop               loopStats
 	standby            bbtfleet.HostID // that this host connects to at standbyConnectAt
