--- a/core/bbtschedule/settled.go
+++ b/core/bbtschedule/settled.go
@@ -30,7 +30,7 @@
 // put records how an attempt was settled.
 func (t *settled) put(now time.Time, k key, s settlement) {
 	if t.current == nil || now.Sub(t.began) >= settledPeriod || len(t.current) >= maxSettled {
-		t.current, t.previous, t.began = make(map[key]settlement), t.current, now
+		t.current, t.previous, t.began = make(map[key]settlement, len(t.current)), t.current, now
 	}
 	s.at = now
 	t.current[k] = s
