bbtschedule: charge requests that run after a rejection

A request that its first endpoint rejected and another one ran used nothing of its account's limit: the rejection refunds the first attempt, and later ones were not charged. Seen by reading, and by a scratch test: 0 used of a cost of 50.

The host says in a later registration that no endpoint has run the request yet, and the owner charges it then. TestRequestThatRunsAfterARejectionIsCharged got 0 used, want 500, with later attempts uncharged.

--- a/core/bbtentry/call.go
+++ b/core/bbtentry/call.go
@@ -24,8 +24,9 @@
 	id              bbtschedule.RequestID
 	registeredID    bbtschedule.RequestID // by which owners know it; differs from id after a relocation
 	submission      Submission
-	dispatchNumber  int // number of the dispatch that is requested or in progress, from 0
-	dispatched      int // dispatches that reached an endpoint
+	dispatchNumber  int  // number of the dispatch that is requested or in progress, from 0
+	dispatched      int  // dispatches that reached an endpoint
+	ran             bool // an endpoint may have run the request
 	triedEndpoints  []string
 	running         bool
 	responseStarted bool
@@ -49,6 +50,7 @@
 	r.RemainingObjective = c.submission.ObjectiveDeadline.Sub(now)
 	r.Exclude = c.triedEndpoints
 	r.Retry = c.dispatched > 0
+	r.Uncharged = c.dispatchNumber > 0 && !c.ran
 	return r
 }
 
--- a/core/bbtentry/entry.go
+++ b/core/bbtentry/entry.go
@@ -216,7 +216,7 @@
 	if c.permitOwner != e.owner && c.permitOwner != "" {
 		out = append(out, Send{c.permitOwner, d})
 	}
-	c.running = false
+	c.running, c.ran = false, c.ran || d.Outcome.MayHaveRun()
 	c.triedEndpoints = append(c.triedEndpoints, c.endpoint)
 	c.dispatchNumber++
 	if d.Outcome != bbtschedule.Unreachable {
--- a/core/bbtentry/entry_test.go
+++ b/core/bbtentry/entry_test.go
@@ -112,6 +112,18 @@
 	}
 }
 
+// Guards against a request that is charged for no attempt, or for two.
+func TestRequestIsUnchargedUntilItRuns(t *testing.T) {
+	for outcome, want := range map[bbtschedule.Outcome]bool{bbtschedule.Rejected: true, bbtschedule.Unreachable: true, bbtschedule.Misdirected: true, bbtschedule.Failed: false, bbtschedule.ConnectionLost: false} {
+		e := newEntry()
+		id := dispatch(t, e)
+		_, r := sentMessage[bbtschedule.Registration](t, e.DispatchEnded(start, id, bbtschedule.Done{Outcome: outcome}, true))
+		if r.Uncharged != want {
+			t.Errorf("%v: got uncharged %t, want %t", outcome, r.Uncharged, want)
+		}
+	}
+}
+
 func TestUnneededPermitIsReturned(t *testing.T) {
 	e := newEntry()
 	id := dispatch(t, e)
--- a/core/bbtentry/relocate.go
+++ b/core/bbtentry/relocate.go
@@ -36,6 +36,7 @@
 	}
 	r := c.registration(now)
 	r.ID, r.Attempt, r.Retry, r.Silent = c.relocation.id, c.relocation.attempt, true, c.registeredID
+	r.Uncharged = false // it is charged for the dispatch that goes on
 	r.Exclude = append(slices.Clone(c.triedEndpoints), c.endpoint)
 	return []Action{Send{e.owner, r}}
 }
--- a/core/bbtschedule/limit_test.go
+++ b/core/bbtschedule/limit_test.go
@@ -179,6 +179,24 @@
 	}
 }
 
+// Guards against requests that use nothing of their account's limit, since their first
+// endpoint rejected them and another one ran them.
+func TestRequestThatRunsAfterARejectionIsCharged(t *testing.T) {
+	s := newPlainScheduler()
+	r := Registration{ID: 1, Service: "plain", Account: "salons", Cost: 500, RemainingTime: time.Second, RemainingObjective: time.Second, EffectiveObjective: time.Second}
+	s.Register(start, "host", r)
+	s.Done(start, "host", Done{ID: 1, Outcome: Rejected})
+	now := start.Add(2 * rejectionPause)
+	r.Attempt, r.Retry, r.Uncharged = 1, true, true
+	if got := permits(s.Register(now, "host", r)); len(got) != 1 {
+		t.Fatalf("got %d permits, want 1", len(got))
+	}
+	s.Done(now, "host", Done{ID: 1, Attempt: 1, Outcome: Finished})
+	if got := s.meter("salons").Sum(now); got != r.Cost {
+		t.Errorf("got %v used, want %v", got, r.Cost)
+	}
+}
+
 func TestRetriesStayWithinTheBudget(t *testing.T) {
 	s := newPlainScheduler()
 	b := bounds()
--- a/core/bbtschedule/message.go
+++ b/core/bbtschedule/message.go
@@ -29,6 +29,7 @@
 	EffectiveObjective   time.Duration `cbor:"17,keyasint,omitempty"` // latency objective from arrival to first event; the request's timeout if the route has none
 	ExpectedOutputTokens int           `cbor:"19,keyasint,omitempty"` // as given by the caller; 0 if unknown
 	Zone                 string        `cbor:"18,keyasint,omitempty"` // availability zone of the host that received the request
+	Uncharged            bool          `cbor:"21,keyasint,omitempty"` // no endpoint has run the request, so that its cost was refunded
 	Silent               RequestID     `cbor:"20,keyasint,omitempty"` // registration of the dispatch that goes on at a silent endpoint unless this one is permitted; 0 for none
 }
 
@@ -122,6 +123,17 @@
 	return [...]string{"finished", "rejected", "unreachable", "failed", "broken", "cancelled", "unused", "silent", "misdirected"}[o]
 }
 
+// MayHaveRun reports whether an endpoint may have run a request whose dispatch ended
+// so.
+func (o Outcome) MayHaveRun() bool {
+	switch o {
+	case Rejected, Unreachable, Misdirected, Unused:
+		return false
+	default:
+		return true
+	}
+}
+
 // Done reports the end of the dispatch under a permit.
 type Done struct {
 	ID       RequestID     `cbor:"1,keyasint"`
--- a/core/bbtschedule/rate.go
+++ b/core/bbtschedule/rate.go
@@ -171,13 +171,17 @@
 }
 
 // refund reverses the charge, of the given age, of a request that no endpoint
-// has run. Only first attempts are charged.
+// has run.
 func (s *Scheduler) refund(now time.Time, r *Registration, age time.Duration) {
-	if a := s.index.Account(r.Account); a != nil && a.Rate > 0 && r.Attempt == 0 {
+	if a := s.index.Account(r.Account); a != nil && a.Rate > 0 && r.isCharged() {
 		s.meter(a.Name).Add(now, age, -r.Cost)
 	}
 }
 
+// isCharged reports whether the attempt is charged to the request's account: the first
+// one, and each that follows until an endpoint has run the request.
+func (r *Registration) isCharged() bool { return r.Attempt == 0 || r.Uncharged }
+
 // meter returns an account's meter. It adds one if there is none.
 func (s *Scheduler) meter(account string) *Meter {
 	m := s.meters[account]
--- a/core/bbtschedule/register.go
+++ b/core/bbtschedule/register.go
@@ -22,6 +22,9 @@
 	if sv == nil {
 		return refuse(bbtverdict.ReasonUnknownPool, minRetryAfter)
 	}
+	if before := s.runs[k]; before != nil && r.Uncharged {
+		s.refund(now, &before.reg, now.Sub(before.registered)) // the report of its end was lost
+	}
 	s.release(now, k)
 	s.drop(now, k) // an earlier attempt may wait since before the host used another owner
 	if s.suspects.banned(now, &r) {
@@ -30,8 +33,9 @@
 	if r.Silent != 0 {
 		return s.relocate(now, sv, k, r)
 	}
-	before, counted := s.settled.of(now, k)
-	counted = counted && before.forgotten && before.attempt == r.Attempt
+	before, known := s.settled.of(now, k)
+	counted := known && before.forgotten && before.attempt == r.Attempt
+	charged := known && before.forgotten && before.charged && (counted || r.Uncharged)
 	if r.Attempt == 0 && !counted {
 		s.retryBudget.countRequest(now, r.Service)
 	}
@@ -39,7 +43,7 @@
 		return refuse(bbtverdict.ReasonRetryBudget, 0)
 	}
 	returning := s.backoff.wasRefused(now, r.Fingerprint)
-	if r.Attempt == 0 && !(counted && before.charged) {
+	if r.isCharged() && !charged {
 		if retryAfter, ok := s.charge(now, &r); !ok {
 			return refuse(bbtverdict.ReasonTokenRate, min(max(retryAfter, s.backoff.retryDelay(now, r)), r.RemainingTime/retryAfterDivisor))
 		}
--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -50,7 +50,7 @@
 func (a *attempt) finish(outcome bbtschedule.Outcome, retry bool) bool {
 	x := a.exchange
 	x.dispatchLog = append(x.dispatchLog, a.dispatch.Endpoint+" "+outcome.String())
-	if mayHaveRun(outcome) {
+	if outcome.MayHaveRun() {
 		x.possibleRuns++
 	}
 	d := bbtschedule.Done{Outcome: outcome, Events: a.events, Limit: a.takeLimit()}
@@ -64,17 +64,6 @@
 	return retry
 }
 
-// mayHaveRun reports whether the endpoint may have run a request with this
-// outcome.
-func mayHaveRun(o bbtschedule.Outcome) bool {
-	switch o {
-	case bbtschedule.Unreachable, bbtschedule.Rejected, bbtschedule.Misdirected, bbtschedule.Unused:
-		return false
-	default:
-		return true
-	}
-}
-
 // roundTripFailed ends a dispatch that got no response header.
 func (a *attempt) roundTripFailed(ctx context.Context, err error) bool {
 	x := a.exchange
--- a/io/bbtgateway/outcome_test.go
+++ b/io/bbtgateway/outcome_test.go
@@ -24,8 +24,8 @@
 	} {
 		a := &attempt{}
 		a.connTrace.connected.Store(c.connected)
-		if got := a.failureOutcome(c.ctx); got != c.want || mayHaveRun(got) != c.ran {
-			t.Errorf("%s: got %v, may have run %v; want %v, %v", c.name, got, mayHaveRun(got), c.want, c.ran)
+		if got := a.failureOutcome(c.ctx); got != c.want || got.MayHaveRun() != c.ran {
+			t.Errorf("%s: got %v, may have run %v; want %v, %v", c.name, got, got.MayHaveRun(), c.want, c.ran)
 		}
 	}
 }
