bbtgateway: never cut a long error response without length

Cause: keepErrorResponse read at most maxBufferedBytes and did not look whether the body went on.

Seen before the fix: TestLongErrorWithoutLengthIsNeverCut "no other endpoint: got &{500 Internal Server Error ...}, 262144 bytes, <nil>" of 307,200.

Fix: one byte more is read. A body that is longer is no fallback: the request is dispatched again, and if that is not granted the caller gets the gateway's refusal (502, may have run), or an earlier error response that was kept whole. On the last attempt such a response is forwarded whole, as before; the test holds that, too. Forwarding it whole at once would take a repeatable request's other attempts, and an endless one would reach the caller (TestEndlessBytesAreBounded).

Elsewhere: forwardBuffered reads one byte more already; endlessDetector fails; no other reader of answers has a limit.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -156,15 +156,17 @@
 	}
 }
 
-// keepErrorResponse asks for another dispatch and keeps the error response, with
-// at most maxBufferedBytes of its body, as the fallback that the caller gets if no
-// dispatch is granted.
+// keepErrorResponse asks for another dispatch and keeps the error response as the
+// fallback that the caller gets if no dispatch is granted, unless its body proves to be
+// longer than maxBufferedBytes.
 func (a *attempt) keepErrorResponse(ctx context.Context, resp *http.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.incomplete(ctx, err)
 	}
-	a.exchange.fallback = &errorResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	if len(body) <= maxBufferedBytes {
+		a.exchange.fallback = &errorResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	}
 	return a.finish(bbtschedule.Failed, true)
 }
 
--- a/io/bbtgateway/gateway.go
+++ b/io/bbtgateway/gateway.go
@@ -99,7 +99,7 @@
 	service  string
 
 	request      *bbtedge.Request
-	fallback     *errorResponse // latest error response, cut to maxBufferedBytes; returned if no further dispatch is granted
+	fallback     *errorResponse // latest error response that is kept; returned if no further dispatch is granted
 	addrs        []string       // of the endpoints that the request was dispatched to
 	possibleRuns int            // dispatches whose endpoint may have run the request
 	headerSent   bool           // response header has been sent to the caller
