bbtgateway: count all answers that break off

Operators saw: a stream that ends since a further dispatch is refused after its caller got a part, one whose caller leaves while another endpoint is asked, and one whose write to the caller fails were in no answers-broken-off-REASON.

Cause: only attempt.abort counted; refuse, dispatchFailed, schedulingFailed and forwardEvents ended the answer by themselves.

Seen before the fix: TestStreamThatIsRefusedMidwayIsCounted "attempts-used: got it counted 0 times, want once"; TestCallerThatLeavesMidwayIsCounted, both cases, "cancelled: got it counted 0 times, want once".

Fix: exchange.breakOff is the one place where an answer ends of which the caller has a part; it counts with the refusal's reason or `cancelled`. exchange.callerGone ends all requests whose callers have left.

Not counted, as before: an answer that was read whole from its endpoint and whose write to the caller fails; net/http mostly buffers it, so the failure isn't told.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -116,8 +116,7 @@
 // failed one.
 func (x *exchange) dispatchFailed(ctx context.Context, reason bbtverdict.Reason, err error) {
 	if x.r.Context().Err() != nil {
-		x.reason = string(bbtverdict.ReasonCancelled)
-		panic(http.ErrAbortHandler)
+		x.callerGone()
 	}
 	if ctx.Err() != nil {
 		reason = bbtverdict.ReasonTimeout
@@ -270,23 +269,6 @@
 	return 0, errEndless
 }
 
-// abort ends the dispatch of a partly forwarded response. It panics, which
-// closes the caller's connection, so that the caller detects the truncation.
-func (a *attempt) abort(ctx context.Context) {
-	x := a.exchange
-	outcome, reason := bbtschedule.ConnectionLost, bbtverdict.ReasonResponseIncomplete
-	switch {
-	case x.r.Context().Err() != nil:
-		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonCancelled
-	case ctx.Err() != nil:
-		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonTimeout
-	}
-	a.finish(outcome, false)
-	x.reason = string(reason)
-	x.gateway.counters.Add("answers-broken-off-"+string(reason), 1)
-	panic(http.ErrAbortHandler)
-}
-
 // sendHeader sends the response header to the caller.
 func (x *exchange) sendHeader(status int, header http.Header) {
 	h := x.w.Header()
--- a/io/bbtgateway/serve.go
+++ b/io/bbtgateway/serve.go
@@ -60,8 +60,7 @@
 		e = bbtverdict.New(e.Verdict(), e.Reason(), bbtverdict.WithRetryAfter(defaultRetryAfter))
 	}
 	if x.r.Context().Err() != nil {
-		x.reason = string(bbtverdict.ReasonCancelled)
-		panic(http.ErrAbortHandler)
+		x.callerGone()
 	}
 	if f := x.fallback; f != nil && !x.headerSent {
 		x.reason = string(e.Reason())
@@ -146,7 +145,7 @@
 	x.reason, x.retryAfter = string(e.Reason()), e.RetryAfter()
 	x.gateway.counters.Refused(e)
 	if x.headerSent {
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller detects the truncated response
+		x.breakOff(e.Reason())
 	}
 	x.status = statusOf(e)
 	x.gateway.dialect.WriteRefusal(x.w.Header(), e)
--- a/io/bbtgateway/stream.go
+++ b/io/bbtgateway/stream.go
@@ -90,8 +90,7 @@
 	}
 	if err != nil {
 		a.finish(bbtschedule.Cancelled, false)
-		x.reason = "caller-gone"
-		panic(http.ErrAbortHandler)
+		x.callerGone()
 	}
 }
 
