--- a/io/bbtgateway/listen.go
+++ b/io/bbtgateway/listen.go
@@ -63,6 +63,7 @@
 	mu         sync.Mutex
 	timer      *time.Timer // nil until the first write
 	isArmed    bool
+	isClosed   bool      // by the server; the connection may still linger
 	writes     int       // in progress
 	unanswered time.Time // since when the caller owes an acknowledgement; zero if it owes none
 }
@@ -117,7 +118,7 @@
 		c.unanswered = now
 	case min(now.Sub(c.unanswered), s.sinceAck) >= unackedTimeout:
 		c.isArmed = false
-		_ = c.tcp.SetLinger(0) // fails if the server has closed it
+		_ = c.tcp.SetLinger(0) // fails if it is closed
 		_ = c.tcp.Close()
 		return
 	}
--- a/io/bbtgateway/listen_test.go
+++ b/io/bbtgateway/listen_test.go
@@ -6,10 +6,13 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
+	"syscall"
 	"testing"
 	"time"
 
 	"bluebelltray/io/bbtgateway"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -68,6 +71,42 @@
 	}
 }
 
+// Guards against the end of an answer that is lost since its caller has sent bytes that the
+// server does not read, as an early request, before it closes the connection.
+func TestBytesAfterTheRequestCutNoAnswer(t *testing.T) {
+	t.Parallel()
+	const size = 1 << 20
+	for name, early := range map[string]string{
+		"next request":        "GET / HTTP/1.1\r\nHost: h.example\r\n\r\n",
+		"part of a request":   "GET /",
+		"bytes of no request": strings.Repeat("x", 3000),
+		"many bytes":          strings.Repeat("x", 64<<10),
+	} {
+		sent := make(chan struct{})
+		conn := serveCallers(t, func(w http.ResponseWriter, _ *http.Request) {
+			<-sent
+			w.Header().Set("Connection", "close")
+			_, _ = w.Write(make([]byte, size))
+		})
+		<-time.After(50 * time.Millisecond) // the request is read, and nothing behind it
+		if _, err := io.WriteString(conn, early); err != nil {
+			t.Fatal(err)
+		}
+		close(sent)
+		<-time.After(300 * time.Millisecond)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n, err := io.Copy(io.Discard, resp.Body); err != nil || n != size {
+			t.Errorf("%s: got %d bytes, %v, want %d", name, n, err, size)
+		}
+		if n, err := conn.Read(make([]byte, 1)); n > 0 || !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: got %d bytes, %v, behind the answer, want the connection closed", name, n, err)
+		}
+	}
+}
+
 // Guards against work that goes on for callers whose hosts are gone without a sign.
 func TestCallerThatAcknowledgesNothingIsGivenUp(t *testing.T) {
 	t.Parallel()
