--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -88,8 +88,7 @@
 // failed one.
 func (x *exchange) dispatchFailed(ctx context.Context, reason bbtverdict.Reason, err error) {
 	if x.r.Context().Err() != nil {
-		x.reason = string(bbtverdict.ReasonCancelled)
-		panic(http.ErrAbortHandler)
+		x.callerGone()
 	}
 	if ctx.Err() != nil {
 		reason = bbtverdict.ReasonTimeout
@@ -130,15 +129,17 @@
 	}
 }
 
-// keepErrorResponse asks for another dispatch and keeps the error response, with
-// at most maxBufferedBytes of its body, as the fallback that the caller gets if no
-// dispatch is granted.
+// keepErrorResponse asks for another dispatch and keeps the error response as the
+// fallback that the caller gets if no dispatch is granted, unless its body proves to be
+// longer than maxBufferedBytes.
 func (a *attempt) keepErrorResponse(ctx context.Context, resp *http.Response) bool {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
 	if err != nil {
 		return a.incomplete(ctx, err)
 	}
-	a.exchange.fallback = &errorResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	if len(body) <= maxBufferedBytes {
+		a.exchange.fallback = &errorResponse{status: resp.StatusCode, header: resp.Header, body: body}
+	}
 	return a.finish(bbtschedule.Failed, true)
 }
 
@@ -219,23 +220,6 @@
 	return 0, errEndless
 }
 
-// abort ends the dispatch of a partly forwarded response. It panics, which
-// closes the caller's connection, so that the caller detects the truncation.
-func (a *attempt) abort(ctx context.Context) {
-	x := a.exchange
-	outcome, reason := bbtschedule.ConnectionLost, bbtverdict.ReasonResponseIncomplete
-	switch {
-	case x.r.Context().Err() != nil:
-		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonCancelled
-	case ctx.Err() != nil:
-		outcome, reason = bbtschedule.Cancelled, bbtverdict.ReasonTimeout
-	}
-	a.finish(outcome, false)
-	x.reason = string(reason)
-	x.gateway.counters.Add("answers-broken-off-"+string(reason), 1)
-	panic(http.ErrAbortHandler)
-}
-
 // sendHeader sends the response header to the caller.
 func (x *exchange) sendHeader(status int, header http.Header) {
 	h := x.w.Header()
