bbtgateway: tell callers of long answers that break off at once

Callers saw: their connection was closed without a byte of an answer, when the endpoint of a long answer (stated length over 256 KiB) broke off, or was silent until the deadline, before some kilobytes of it had come.

Cause: the head of such an answer was taken as sent as soon as it had come; net/http holds it and the first bytes back in its buffers, and an aborted handler drops these.

Fix: the first 256 KiB of a long answer are read before any of it is forwarded, as for answers without length. What breaks off before that is dispatched again or told (502, 504); what breaks off later has bytes on the wire. No watchdog runs meanwhile, as before. The first byte of a long answer comes later by the time that 256 KiB take from the endpoint.

The other places: callers that have left (callerGone) are told nothing; a refusal, a timeout or a failed write within a stream comes after an event that was flushed. A streaming route's answers other than 200 go the way above.

--- a/io/bbtgateway/answer.go
+++ b/io/bbtgateway/answer.go
@@ -18,9 +18,9 @@
 )
 
 const (
-	// maxBufferedBytes is the size up to which a response is buffered completely
-	// before it is forwarded, so that a request with a truncated response can be
-	// repeated. Event streams are never buffered.
+	// maxBufferedBytes is the size up to which a response is buffered before it is
+	// forwarded, so that a request with a truncated response can be repeated. Event
+	// streams are never buffered.
 	maxBufferedBytes = 256 << 10
 	// maxUnsizedBytes is the size of a response without Content-Length above which
 	// it is taken for one without end.
@@ -148,9 +148,10 @@
 		return a.keepErrorResponse(ctx, resp)
 	case x.route.Kind == bbtcatalog.Streaming && resp.StatusCode == http.StatusOK:
 		return a.forwardStream(ctx, resp)
-	case resp.ContentLength > maxBufferedBytes:
-		return a.forwardUnbuffered(ctx, resp, nil)
 	default:
+		if resp.ContentLength > maxBufferedBytes { // takes its time, though its endpoint is not silent
+			a.watchdog.stop()
+		}
 		return a.forwardBuffered(ctx, resp)
 	}
 }
@@ -205,8 +206,9 @@
 	return id != "" && checkID && a.responseHead.ID != id
 }
 
-// forwardBuffered reads the complete response before forwarding it, unless it
-// proves to be long.
+// forwardBuffered reads the complete response before forwarding it, or the first
+// maxBufferedBytes of a longer one. So net/http has sent bytes of every response that
+// breaks off, and the others are told to the caller or dispatched again.
 func (a *attempt) forwardBuffered(ctx context.Context, resp *http.Response) bool {
 	x := a.exchange
 	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
