--- a/io/bbtedge/fuzz_test.go
+++ b/io/bbtedge/fuzz_test.go
@@ -41,8 +41,9 @@
 			Limits:       []bbtschedule.Limit{{Endpoint: "i-0", Limit: bbtschedule.StatedLimit{Answered: true, Limited: true, PerSecond: math.NaN()}, Age: -maxDuration}},
 		},
 		bbtschedule.ProbeReply{Deficits: []bbtschedule.Deficit{{Account: limitedAccount.Name, Units: math.NaN()}}},
-		bbtschedule.Probe{}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, MembershipSnapshot{},
+		bbtschedule.Probe{}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, UpdateRequest{Era: math.MaxUint64, Version: math.MinInt64}, MembershipSnapshot{},
 		bbtcatalog.Update{Revision: math.MaxUint64, Full: true, Changes: []bbtcatalog.Change{{}, {Config: &bbtcatalog.Config{Version: -1}}}},
+		bbtcatalog.Update{Revision: 1, Era: 1, Full: true, Changes: []bbtcatalog.Change{{Revision: 9, Endpoint: &bbtcatalog.Endpoint{ID: "i-0", StartTimeMS: -1}}, {Zone: new(string), Removed: true}}},
 		bbtmember.Ping{}, bbtmember.Ack{}, bbtmember.IndirectPing{}, bbtmember.IndirectAck{},
 	} {
 		data, err := codec.Encode(msg)
