--- a/io/bbtedge/reader.go
+++ b/io/bbtedge/reader.go
@@ -107,7 +107,7 @@
 			}
 		case errors.Is(err, bluebelltray.ErrHistoryUnavailable):
 			r.edge.counters.Add("platform-histories-gone", 1)
-			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownPosition().Revision), zap.Error(err))
+			r.edge.log.Info("platform's history is gone", zap.Uint64("after", r.knownPosition().Revision), zap.String("error", err.Error()))
 			if reloading {
 				r.sleep(backoff)
 				backoff = min(2*backoff, maxBackoff)
