--- a/io/bbtedge/fuzz_test.go
+++ b/io/bbtedge/fuzz_test.go
@@ -48,8 +48,9 @@
 		bbtschedule.Takeover{Draining: []bbtschedule.Incarnation{{}, {Endpoint: "i-0"}, {Endpoint: "i-0", Address: "x"}}},
 		bbtschedule.Permit{ID: 9, Endpoint: "i-0", StartTimeMS: math.MinInt64},
 		bbtschedule.ProbeReply{Deficits: []bbtschedule.Deficit{{Account: limitedAccount.Name, Units: math.NaN()}}, Unknown: []bbtschedule.Pending{{ID: 1, Attempt: math.MinInt}}},
-		bbtschedule.Probe{}, bbtschedule.Probe{Pending: make([]bbtschedule.Pending, 1000)}, bbtschedule.Withdrawal{ID: 1, Attempt: math.MaxInt}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, MembershipSnapshot{},
+		bbtschedule.Probe{}, bbtschedule.Probe{Pending: make([]bbtschedule.Pending, 1000)}, bbtschedule.Withdrawal{ID: 1, Attempt: math.MaxInt}, bbtschedule.Withdrawal{ID: 9}, UpdateRequest{Revision: math.MaxUint64}, UpdateRequest{Era: math.MaxUint64, Version: math.MinInt64}, MembershipSnapshot{},
 		bbtcatalog.Update{Revision: math.MaxUint64, Full: true, Changes: []bbtcatalog.Change{{}, {Config: &bbtcatalog.Config{Version: -1}}}},
+		bbtcatalog.Update{Revision: 1, Era: 1, Full: true, Changes: []bbtcatalog.Change{{Revision: 9, Endpoint: &bbtcatalog.Endpoint{ID: "i-0", StartTimeMS: -1}}, {Zone: new(string), Removed: true}}},
 		bbtmember.Ping{}, bbtmember.Ack{}, bbtmember.IndirectPing{}, bbtmember.IndirectAck{},
 	} {
 		data, err := codec.Encode(msg)
