bbtcatalog: an earlier removal in a full state hides no later one

A host that learnt from peers alone kept a zone out of service, or used an endpoint, that had been removed, published and removed again: a peer's full state holds its tombstones, and one of the first removal counted as an entry, so the host did not notice that the item was missing. Entries alone count now. Found by 53,595 sequences of the model test; before the change TestFullUpdateWithAnEarlierRemovalRemovesTheItem printed

got endpoints "a", want none

--- a/core/bbtcatalog/keeper.go
+++ b/core/bbtcatalog/keeper.go
@@ -63,14 +63,14 @@
 		cat.OutageEnded(now)
 		cat.restoration = Restoration{}
 	}
-	listed := make(map[string]bool)
+	listed := make(map[string]bool) // published, not removed
 	for _, c := range u.Changes {
 		switch {
 		case c.Endpoint != nil:
-			listed["e"+c.Endpoint.ID] = true
+			listed["e"+c.Endpoint.ID] = !c.Removed
 			changed = cat.putEndpoint(now, Position{u.Era, c.Revision}, c, begins) || changed
 		case c.Zone != nil:
-			listed["z"+*c.Zone] = true
+			listed["z"+*c.Zone] = !c.Removed
 			changed = cat.putZone(now, Position{u.Era, c.Revision}, c) || changed
 		}
 	}
--- a/core/bbtcatalog/keeper_test.go
+++ b/core/bbtcatalog/keeper_test.go
@@ -148,6 +148,17 @@
 	}
 }
 
+// Guards against a host that keeps using what was removed, since the peer's full state
+// names an earlier removal of it.
+func TestFullUpdateWithAnEarlierRemovalRemovesTheItem(t *testing.T) {
+	var lagging bbtcatalog.Catalog
+	lagging.Apply(start, update(config(1, 1), endpoint(4, "a")))
+	lagging.Apply(start, bbtcatalog.Update{Revision: 5, Full: true, Changes: []bbtcatalog.Change{config(1, 1), removal(3, "a")}})
+	if got := ids(&lagging, start); got != "" {
+		t.Errorf("got endpoints %q, want none", got)
+	}
+}
+
 func TestRouteHasLongestMatchingPrefix(t *testing.T) {
 	ix := bbtcatalog.NewIndex(&bbtcatalog.Config{Routes: []bbtcatalog.Route{
 		{Name: "short", Domain: "h", Prefix: "/a/"},
