bbtcatalog: a former process that a copy names is over

Its successor under the same ID has started, so a former process never runs: what is known of the successor now stays.

TestDrainOutlivesACopyWithAFormerProcess printed before the change

got the process used 0s after the second copy, want it unused or draining

--- a/core/bbtcatalog/restore.go
+++ b/core/bbtcatalog/restore.go
@@ -27,8 +27,8 @@
 
 // reconcile adapts an endpoint that the first state of an era lists to what is known
 // of it. An entry of the same process or of a former one is from the copy: it tells
-// nothing of a removal or of a drain that came later. What is known of a process
-// that the copy does not name yet stays.
+// nothing of a removal or of a drain that came later. A former process is over, so
+// what is known of its successor stays.
 func (cat *Catalog) reconcile(now time.Time, old item, it *item) {
 	known, listed := old.change.Endpoint, it.change.Endpoint
 	former := listed.StartTimeMS < known.StartTimeMS
@@ -36,10 +36,11 @@
 		return
 	}
 	gone := old.change.Removed && !old.unlisted || !old.change.Removed && !old.exists(now)
-	if former && !gone {
-		it.change.Endpoint = known
+	if former {
+		it.change.Endpoint, it.change.Removed = known, gone || !old.exists(now)
+		return
 	}
-	if !former && known.Draining && !listed.Draining {
+	if known.Draining && !listed.Draining {
 		draining := *listed
 		draining.Draining = true
 		it.change.Endpoint = &draining
