--- a/io/bbtpeer/unknown_test.go
+++ b/io/bbtpeer/unknown_test.go
@@ -26,7 +26,7 @@
 		t.Errorf("got %v, want %v", got, want)
 	}
 	a.Close()
-	for deadline := time.Now().Add(10 * time.Second); b.Send("a", note{"late"}); time.Sleep(time.Millisecond) {
+	for deadline := time.Now().Add(10 * time.Second); b.Send("a", note{"late"}); <-time.After(time.Millisecond) {
 		if time.Now().After(deadline) {
 			t.Fatal("got messages queued for 10 s after the connection ended, want them dropped")
 		}
