--- a/review/standin/cases.go
+++ b/review/standin/cases.go
@@ -243,8 +243,8 @@
 		window = 8 * time.Second
 		over   = 0.25
 		slack  = 140000
-		rounds = 6
-		rest   = 5 * time.Second
+		rounds = 8
+		rest   = 3 * time.Second
 		prompt = 6000
 		output = 100
 	)
@@ -263,7 +263,7 @@
 		"timeout_ms": 15000, "target_latency_ms": 500, "gap_aim_ms": 300, "max_attempts": 2, "priority": 0, "sticky": true, "resumable": true}
 	service := map[string]any{"name": "testi-modello", "health_path": "/health", "engine": map[string]any{"slots": 18, "stride": 6, "kv_capacity": 976781}}
 	f.configure(1, []map[string]any{route}, []map[string]any{service})
-	if err := f.startEdges(3); err != nil {
+	if err := f.startEdges(2); err != nil {
 		return false, err
 	}
 	next := func(key string) func(int) request {
@@ -283,9 +283,9 @@
 		time.Sleep(rand.N(500 * time.Millisecond))
 		burst, stop := make(chan struct{}), make(chan struct{})
 		f.rec.printf("tenant corrieri begins to send, machine %s schedules", e.name)
-		f.clients.load(400, burst, next(cappedKey))
+		f.clients.load(900, burst, next(cappedKey))
 		f.clients.load(80, stop, next(cappedKey))
-		time.Sleep(400 * time.Millisecond)
+		time.Sleep(220 * time.Millisecond)
 		if trouble {
 			go func() {
 				if err := f.killEdge(e, time.Second); err != nil {
@@ -293,7 +293,7 @@
 				}
 			}()
 		}
-		time.Sleep(600 * time.Millisecond)
+		time.Sleep(780 * time.Millisecond)
 		close(burst)
 		time.Sleep(window - time.Second)
 		close(stop)
