--- a/review/build.sh
+++ b/review/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
 # Builds the stand-in that the scripts of the review start. It needs no network.
 set -euo pipefail
-cd "$(dirname "$0")/standin"
-go build -o ../../target/review-standin .
+cd "$(dirname "$0")/testdata/standin"
+go build -o ../../../target/review-standin .
